Add the design page, the build and the base libraries

The repository was empty. The design page weighs the main decisions at the size to design for; the build declares one library per module with its tests; base, settings, logging, metrics and timeline are in place.

--- /dev/null
+++ b/cmake/Targets.cmake
@@ -0,0 +1,42 @@
+add_library(qh_compile_options INTERFACE)
+target_compile_options(qh_compile_options INTERFACE -Wall -Wextra -Wshadow -Wnon-virtual-dtor)
+if(QH_SANITIZE)
+  target_compile_options(qh_compile_options INTERFACE -fsanitize=address,undefined
+                                                      -fno-sanitize-recover=undefined
+                                                      -fno-omit-frame-pointer)
+  target_link_options(qh_compile_options INTERFACE -fsanitize=address,undefined)
+endif()
+
+# qh_library(<module> SOURCES <file>... DEPENDS <target>...)
+# Declares libs/<module> as the library qh_<module> with its public headers in include/.
+function(qh_library module)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_library(qh_${module} STATIC ${ARG_SOURCES})
+  target_include_directories(qh_${module} PUBLIC include PRIVATE src)
+  target_link_libraries(qh_${module} PUBLIC qh_compile_options ${ARG_DEPENDS})
+endfunction()
+
+# qh_program(<name> SOURCES <file>... DEPENDS <target>...)
+function(qh_program name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_link_libraries(${name} PRIVATE qh_compile_options ${ARG_DEPENDS})
+endfunction()
+
+# qh_test(<name> SOURCES <file>... DEPENDS <target>... [TIMEOUT <seconds>])
+# Declares a Catch2 program as one ctest test. RapidCheck's seed is fixed, so that each run
+# gives the same verdict.
+function(qh_test name)
+  cmake_parse_arguments(ARG "SERIAL" "TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
+  if(NOT ARG_TIMEOUT)
+    set(ARG_TIMEOUT 120)
+  endif()
+  add_executable(${name} ${ARG_SOURCES})
+  target_link_libraries(${name} PRIVATE qh_test_main qh_compile_options ${ARG_DEPENDS})
+  add_test(NAME ${name} COMMAND ${name} --rng-seed 20261204)
+  set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT} ENVIRONMENT
+                                                      "RC_PARAMS=seed=20261204")
+  if(ARG_SERIAL)
+    set_tests_properties(${name} PROPERTIES RUN_SERIAL TRUE)
+  endif()
+endfunction()
--- /dev/null
+++ b/libs/base/include/quetzalhinge/base/ip_endpoint.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <netinet/in.h>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace qh {
+
+/** An IPv4 address and a port. Names are never resolved: peers are known by IP numbers. */
+struct IpEndpoint {
+  std::string ip;
+  std::uint16_t port = 0;
+
+  auto operator<=>(const IpEndpoint&) const = default;
+};
+
+/** Returns whether `text` is an IPv4 address in dotted form. */
+bool IsIpNumber(std::string_view text) noexcept;
+
+/** Parses "<ip>:<port>" with a port from 0 to 65535; returns nothing if `text` has another form. */
+std::optional<IpEndpoint> ParseIpEndpoint(std::string_view text);
+
+/** Returns "<ip>:<port>". */
+std::string ToString(const IpEndpoint& endpoint);
+
+/** Returns the socket address of `endpoint`, whose ip must satisfy IsIpNumber(). */
+sockaddr_in ToSockaddr(const IpEndpoint& endpoint) noexcept;
+
+/** Returns the endpoint of an IPv4 socket address. */
+IpEndpoint FromSockaddr(const sockaddr_in& address);
+
+}  // namespace qh
--- /dev/null
+++ b/scripts/packages.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Installs the Debian 12 packages that building, testing and checking need. Does nothing when all
+# of them are there already.
+set -euo pipefail
+
+packages=(
+  g++ cmake ninja-build pkg-config clang-format clang-tidy clang-tools python3
+  libuv1-dev libh2o-dev libcapnp-dev capnproto libpopt-dev libboost-log-dev
+  librapidcheck-dev catch2 libinih-dev libxxhash-dev nlohmann-json3-dev libssl-dev zlib1g-dev
+)
+
+missing=()
+for package in "${packages[@]}"; do
+  if ! dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed'; then
+    missing+=("$package")
+  fi
+done
+if [ "${#missing[@]}" -eq 0 ]; then
+  exit 0
+fi
+
+run_as_root=()
+if [ "$(id -u)" -ne 0 ]; then
+  run_as_root=(sudo)
+fi
+export DEBIAN_FRONTEND=noninteractive
+"${run_as_root[@]}" apt-get update -qq
+"${run_as_root[@]}" apt-get install -y -qq --no-install-recommends "${missing[@]}" >/dev/null
