Add libuv wrappers and the HTTP server and client on h2o

h2o settles the framing of a request before a handler runs, so the server scans the raw head for lengths that can be read in two ways. The client reads whole responses, refuses those without a length, and drops the pool of idle connections at once when asked to.

--- /dev/null
+++ b/libs/http/src/framing_check.cc
@@ -0,0 +1,66 @@
+#include "framing_check.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace qh::http {
+namespace {
+
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) noexcept {
+  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+           return std::tolower(static_cast<unsigned char>(x)) ==
+                  std::tolower(static_cast<unsigned char>(y));
+         });
+}
+
+std::string_view Trim(std::string_view text) noexcept {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t' || text.back() == '\r')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+bool IsPlainNumber(std::string_view text) noexcept {
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+}  // namespace
+
+Framing CheckFraming(std::string_view raw_head) noexcept {
+  int lengths = 0;
+  int encodings = 0;
+  std::size_t position = raw_head.find('\n');
+  while (position != std::string_view::npos) {
+    const std::size_t start = position + 1;
+    position = raw_head.find('\n', start);
+    const std::string_view line = raw_head.substr(start, position - start);
+    if (line.empty() || line == "\r") {
+      break;
+    }
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos) {
+      continue;
+    }
+    // A blank before the colon is trimmed too, so that "content-length :" is counted.
+    const std::string_view name = Trim(line.substr(0, colon));
+    const std::string_view value = Trim(line.substr(colon + 1));
+    if (EqualsIgnoringCase(name, "content-length")) {
+      ++lengths;
+      if (!IsPlainNumber(value)) {
+        return Framing::kAmbiguous;
+      }
+    } else if (EqualsIgnoringCase(name, "transfer-encoding")) {
+      ++encodings;
+      if (!EqualsIgnoringCase(value, "chunked")) {
+        return Framing::kAmbiguous;
+      }
+    }
+  }
+  return lengths + encodings > 1 ? Framing::kAmbiguous : Framing::kClear;
+}
+
+}  // namespace qh::http
--- /dev/null
+++ b/libs/http/src/http_client.cc
@@ -0,0 +1,339 @@
+#include "quetzalhinge/http/http_client.h"
+
+#include <h2o.h>
+#include <h2o/http1client.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <set>
+#include <utility>
+
+#include "quetzalhinge/base/enum_table.h"
+#include "quetzalhinge/net/timer.h"
+
+namespace qh::http {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr EnumTable<CallStage, 3> kStageNames{{{
+    {CallStage::kNotConnected, "not_connected"},
+    {CallStage::kSent, "sent"},
+    {CallStage::kResponseStarted, "response_started"},
+}}};
+
+/** h2o's own timeout on one read or write; calls have their own timeout, so this is a long one. */
+constexpr milliseconds kIoTimeout{900000};
+
+/** Idle connections kept for one peer. More are opened when calls need them. */
+constexpr std::size_t kMaxIdleConnections = 256;
+
+std::string SerializeHead(const HttpRequest& request, const IpEndpoint& peer, bool close_after) {
+  std::string head = request.method + " " + request.path + " HTTP/1.1\r\nhost: " + ToString(peer);
+  for (const HttpHeader& header : WithoutHopByHop(request.headers)) {
+    if (header.name != "host") {
+      head += "\r\n" + header.name + ": " + header.value;
+    }
+  }
+  if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
+    head += "\r\ncontent-length: " + std::to_string(request.body.size());
+  }
+  return head + (close_after ? "\r\nconnection: close\r\n\r\n" : "\r\n\r\n");
+}
+
+std::string Lower(const h2o_iovec_t& text) {
+  std::string lower(text.base, text.len);
+  for (char& c : lower) {
+    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  }
+  return lower;
+}
+
+bool HasBody(const std::string& method, int status) {
+  return method != "HEAD" && status != 204 && status != 304 && status >= 200;
+}
+
+}  // namespace
+
+const char* ToString(CallStage stage) noexcept { return kStageNames.NameOf(stage); }
+
+namespace {
+
+/** h2o's pool of connections to one peer. Lives until the last call that uses it has ended. */
+struct ConnectionPool {
+  h2o_socketpool_t pool{};
+  net::EventLoop& loop;
+
+  ConnectionPool(net::EventLoop& event_loop, const IpEndpoint& peer, milliseconds idle_timeout)
+      : loop(event_loop) {
+    sockaddr_in address = ToSockaddr(peer);
+    h2o_socketpool_init_by_address(&pool, reinterpret_cast<sockaddr*>(&address), sizeof(address),
+                                   0, kMaxIdleConnections);
+    h2o_socketpool_set_timeout(&pool, loop.Handle(),
+                               static_cast<std::uint64_t>(idle_timeout.count()));
+  }
+  ~ConnectionPool() { h2o_socketpool_dispose(&pool); }
+  ConnectionPool(const ConnectionPool&) = delete;
+  ConnectionPool& operator=(const ConnectionPool&) = delete;
+};
+
+}  // namespace
+
+struct HttpClient::Impl {
+  class Call;
+
+  net::EventLoop& loop;
+  IpEndpoint peer;
+  HttpClientOptions options;
+  h2o_timeout_t io_timeout{};
+  h2o_http1client_ctx_t context{};
+  std::shared_ptr<ConnectionPool> pool;
+  std::set<std::shared_ptr<Call>> calls;
+
+  Impl(net::EventLoop& event_loop, IpEndpoint peer_endpoint, const HttpClientOptions& client_options)
+      : loop(event_loop), peer(std::move(peer_endpoint)), options(client_options) {
+    h2o_timeout_init(loop.Handle(), &io_timeout, static_cast<std::uint64_t>(kIoTimeout.count()));
+    context.loop = loop.Handle();
+    context.io_timeout = &io_timeout;
+    pool = std::make_shared<ConnectionPool>(loop, peer, options.idle_timeout);
+  }
+  ~Impl() {
+    ReleaseLater(std::move(pool));
+    h2o_timeout_dispose(loop.Handle(), &io_timeout);
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  /** h2o returns a connection to its pool after the last callback, so a pool is freed later. */
+  void ReleaseLater(std::shared_ptr<ConnectionPool> old_pool) {
+    loop.Post([kept = std::move(old_pool)] {});
+  }
+};
+
+/** One call: connects, sends, reads the whole response, and reports once. */
+class HttpClient::Impl::Call : public HttpCall, public std::enable_shared_from_this<Call> {
+ public:
+  Call(std::shared_ptr<Impl> client, const HttpRequest& request, bool new_connection,
+       Callback callback)
+      : m_client(std::move(client)),
+        m_pool(new_connection ? nullptr : m_client->pool),
+        m_method(request.method),
+        m_head(SerializeHead(request, m_client->peer, new_connection)),
+        m_body(request.body),
+        m_callback(std::move(callback)),
+        m_timer(m_client->loop, [this] { OnTimer(); }) {
+    m_buffers[0] = h2o_iovec_init(m_head.data(), m_head.size());
+    m_buffers[1] = h2o_iovec_init(m_body.data(), m_body.size());
+  }
+
+  void Begin(milliseconds timeout) {
+    m_deadline = m_client->loop.Now() + timeout;
+    m_timer.StartOnce(std::min(timeout, m_client->options.connect_timeout));
+    if (m_pool != nullptr) {
+      h2o_http1client_connect_with_pool(&m_h2o_client, this, &m_client->context, &m_pool->pool,
+                                        OnConnected);
+    } else {
+      h2o_http1client_connect(&m_h2o_client, this, &m_client->context,
+                              h2o_iovec_init(m_client->peer.ip.data(), m_client->peer.ip.size()),
+                              m_client->peer.port, 0, OnConnected);
+    }
+  }
+
+  void Cancel() override {
+    m_cancelled = true;
+    if (!m_ended) {
+      AbortConnection();
+      End();
+    }
+  }
+
+ private:
+  static Call& From(h2o_http1client_t* client) { return *static_cast<Call*>(client->data); }
+
+  static h2o_http1client_head_cb OnConnected(h2o_http1client_t* client, const char* error,
+                                             h2o_iovec_t** buffers, std::size_t* buffer_count,
+                                             int* method_is_head) {
+    Call& call = From(client);
+    if (error != nullptr) {
+      call.m_h2o_client = nullptr;
+      call.Fail(ErrorCode::kUnavailable, "connect", error, true);
+      return nullptr;
+    }
+    call.m_stage = CallStage::kSent;
+    call.m_timer.StartOnce(call.TimeLeft());
+    *buffers = call.m_buffers.data();
+    *buffer_count = call.m_body.empty() ? 1 : 2;
+    *method_is_head = call.m_method == "HEAD" ? 1 : 0;
+    return OnHead;
+  }
+
+  static h2o_http1client_body_cb OnHead(h2o_http1client_t* client, const char* error,
+                                        int /*minor_version*/, int status, h2o_iovec_t /*reason*/,
+                                        h2o_header_t* headers, std::size_t header_count,
+                                        int /*head_length*/) {
+    Call& call = From(client);
+    const bool ended = error == h2o_http1client_error_is_eos;
+    if (error != nullptr && !ended) {
+      call.m_h2o_client = nullptr;
+      call.Fail(ErrorCode::kUnavailable, "read response head", error, true);
+      return nullptr;
+    }
+    call.m_stage = CallStage::kResponseStarted;
+    call.m_response.status = status;
+    for (std::size_t i = 0; i < header_count; ++i) {
+      call.m_response.headers.push_back(
+          {Lower(*headers[i].name), std::string(headers[i].value.base, headers[i].value.len)});
+    }
+    if (HasBody(call.m_method, status) && !call.HasBodyLength()) {
+      // Returning no callback makes h2o close the connection.
+      call.m_h2o_client = nullptr;
+      call.Fail(ErrorCode::kProtocol, "read response head", "response without a length", false);
+      return nullptr;
+    }
+    if (ended) {
+      call.m_h2o_client = nullptr;
+      call.Succeed();
+      return nullptr;
+    }
+    return OnBody;
+  }
+
+  static int OnBody(h2o_http1client_t* client, const char* error) {
+    Call& call = From(client);
+    h2o_buffer_t* input = client->sock->input;
+    const bool ended = error == h2o_http1client_error_is_eos;
+    if (error != nullptr && !ended) {
+      call.m_h2o_client = nullptr;
+      call.Fail(ErrorCode::kUnavailable, "read response body", error, true);
+      return -1;
+    }
+    call.m_response.body.append(input->bytes, input->size);
+    h2o_buffer_consume(&client->sock->input, input->size);
+    if (call.m_response.body.size() > call.m_client->options.max_response_bytes) {
+      call.m_h2o_client = nullptr;
+      call.Fail(ErrorCode::kExhausted, "read response body", "response is longer than allowed",
+                false);
+      return -1;
+    }
+    if (ended) {
+      call.m_h2o_client = nullptr;
+      call.Succeed();
+    }
+    return 0;
+  }
+
+  bool HasBodyLength() const {
+    return FindHeader(m_response.headers, "content-length").has_value() ||
+           FindHeader(m_response.headers, "transfer-encoding").has_value();
+  }
+
+  milliseconds TimeLeft() const {
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(m_deadline - m_client->loop.Now());
+    return std::max(milliseconds(0), left);
+  }
+
+  void OnTimer() {
+    const char* step = m_stage == CallStage::kNotConnected ? "connect" : "wait for response";
+    AbortConnection();
+    Fail(ErrorCode::kTimeout, step, "no progress in time", false);
+  }
+
+  void AbortConnection() {
+    if (m_h2o_client != nullptr) {
+      h2o_http1client_cancel(m_h2o_client);
+      m_h2o_client = nullptr;
+    }
+  }
+
+  void Fail(ErrorCode code, const char* step, const char* detail, bool closed_by_peer) {
+    Report(HttpCallFailure{Error{code, step, ToString(m_client->peer), detail}, m_stage,
+                           closed_by_peer});
+  }
+
+  void Succeed() { Report(std::move(m_response)); }
+
+  void Report(HttpCallResult result) {
+    if (m_ended) {
+      return;
+    }
+    Callback callback = std::move(m_callback);
+    End();
+    // Posted, so that h2o has finished with the connection before the callback starts other calls.
+    m_client->loop.Post([callback = std::move(callback),
+                         shared_result = std::make_shared<HttpCallResult>(std::move(result)),
+                         self = shared_from_this()] {
+      if (callback != nullptr && !self->m_cancelled) {
+        callback(std::move(*shared_result));
+      }
+    });
+  }
+
+  void End() {
+    m_ended = true;
+    m_timer.Stop();
+    if (m_pool != nullptr) {
+      m_client->ReleaseLater(std::move(m_pool));
+    }
+    // The callers of this function hold the call by its h2o client or by a shared pointer.
+    const std::shared_ptr<Call> self = shared_from_this();
+    m_client->calls.erase(self);
+    m_client->loop.Post([self] {});
+  }
+
+  std::shared_ptr<Impl> m_client;
+  std::shared_ptr<ConnectionPool> m_pool;
+  std::string m_method;
+  std::string m_head;
+  std::string m_body;
+  std::array<h2o_iovec_t, 2> m_buffers{};
+  Callback m_callback;
+  net::Timer m_timer;
+  TimePoint m_deadline{};
+  h2o_http1client_t* m_h2o_client = nullptr;
+  HttpResponse m_response;
+  CallStage m_stage = CallStage::kNotConnected;
+  bool m_ended = false;
+  bool m_cancelled = false;
+};
+
+HttpClient::HttpClient(net::EventLoop& loop, const IpEndpoint& peer,
+                       const HttpClientOptions& options)
+    : m_impl(std::make_shared<Impl>(loop, peer, options)) {}
+
+HttpClient::~HttpClient() {
+  const std::set<std::shared_ptr<Impl::Call>> calls = m_impl->calls;
+  for (const std::shared_ptr<Impl::Call>& call : calls) {
+    call->Cancel();
+  }
+}
+
+std::shared_ptr<HttpCall> HttpClient::Start(const HttpRequest& request, milliseconds timeout,
+                                            Callback callback) {
+  auto call = std::make_shared<Impl::Call>(m_impl, request, false, std::move(callback));
+  m_impl->calls.insert(call);
+  call->Begin(timeout);
+  return call;
+}
+
+std::shared_ptr<HttpCall> HttpClient::StartOnNewConnection(const HttpRequest& request,
+                                                           milliseconds timeout,
+                                                           Callback callback) {
+  auto call = std::make_shared<Impl::Call>(m_impl, request, true, std::move(callback));
+  m_impl->calls.insert(call);
+  call->Begin(timeout);
+  return call;
+}
+
+void HttpClient::DiscardIdleConnections() {
+  m_impl->ReleaseLater(std::move(m_impl->pool));
+  m_impl->pool =
+      std::make_shared<ConnectionPool>(m_impl->loop, m_impl->peer, m_impl->options.idle_timeout);
+}
+
+const IpEndpoint& HttpClient::Peer() const noexcept { return m_impl->peer; }
+
+std::size_t HttpClient::InProgress() const noexcept { return m_impl->calls.size(); }
+
+}  // namespace qh::http
--- /dev/null
+++ b/libs/net/src/event_loop.cc
@@ -0,0 +1,76 @@
+#include "quetzalhinge/net/event_loop.h"
+
+#include <uv.h>
+
+#include <csignal>
+#include <utility>
+#include <vector>
+
+namespace qh::net {
+
+struct EventLoop::Impl {
+  uv_loop_t loop{};
+  /** Wakes the loop for posted tasks and for the limit of RunOnce(). */
+  uv_async_t post_wakeup{};
+  uv_timer_t run_limit{};
+  std::vector<std::function<void()>> posted;
+};
+
+namespace {
+
+void CloseIfOpen(uv_handle_t* handle, void* /*unused*/) {
+  if (uv_is_closing(handle) == 0) {
+    uv_close(handle, nullptr);
+  }
+}
+
+}  // namespace
+
+EventLoop::EventLoop() : m_impl(std::make_unique<Impl>()) {
+  // A peer that closes its side while we write must give an error, not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  uv_loop_init(&m_impl->loop);
+  uv_async_init(&m_impl->loop, &m_impl->post_wakeup, [](uv_async_t* handle) {
+    auto* impl = static_cast<Impl*>(handle->data);
+    std::vector<std::function<void()>> tasks;
+    tasks.swap(impl->posted);
+    for (const std::function<void()>& task : tasks) {
+      task();
+    }
+  });
+  m_impl->post_wakeup.data = m_impl.get();
+  uv_timer_init(&m_impl->loop, &m_impl->run_limit);
+}
+
+EventLoop::~EventLoop() {
+  // Tasks posted by objects that are gone already free what those objects left to the loop.
+  for (int round = 0; round < 3 && !m_impl->posted.empty(); ++round) {
+    uv_run(&m_impl->loop, UV_RUN_NOWAIT);
+  }
+  uv_walk(&m_impl->loop, CloseIfOpen, nullptr);
+  uv_run(&m_impl->loop, UV_RUN_DEFAULT);
+  uv_loop_close(&m_impl->loop);
+}
+
+void EventLoop::Run() { uv_run(&m_impl->loop, UV_RUN_DEFAULT); }
+
+void EventLoop::Stop() noexcept {
+  uv_stop(&m_impl->loop);
+  uv_async_send(&m_impl->post_wakeup);
+}
+
+void EventLoop::RunOnce(std::chrono::milliseconds limit) {
+  uv_timer_start(
+      &m_impl->run_limit, [](uv_timer_t*) {}, static_cast<std::uint64_t>(limit.count()), 0);
+  uv_run(&m_impl->loop, UV_RUN_ONCE);
+  uv_timer_stop(&m_impl->run_limit);
+}
+
+void EventLoop::Post(std::function<void()> task) {
+  m_impl->posted.push_back(std::move(task));
+  uv_async_send(&m_impl->post_wakeup);
+}
+
+uv_loop_s* EventLoop::Handle() noexcept { return &m_impl->loop; }
+
+}  // namespace qh::net
