--- a/libs/http/include/quetzalhinge/http/http_client.h
+++ b/libs/http/include/quetzalhinge/http/http_client.h
@@ -59,7 +59,8 @@
 /**
  * HTTP/1.1 client of one peer, with a pool of idle connections. A connection carries one call at a
  * time and goes back to the pool only after a whole, well-framed response. A response without a
- * length and without chunked coding is refused, because a cut one could not be told from a whole one.
+ * length and without chunked coding is refused, because a cut one could not be told from a whole
+ * one.
  */
 class HttpClient {
  public:
--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -68,8 +68,8 @@
   ConnectionPool(net::EventLoop& event_loop, const IpEndpoint& peer, milliseconds idle_timeout)
       : loop(event_loop) {
     sockaddr_in address = ToSockaddr(peer);
-    h2o_socketpool_init_by_address(&pool, reinterpret_cast<sockaddr*>(&address), sizeof(address),
-                                   0, kMaxIdleConnections);
+    h2o_socketpool_init_by_address(&pool, reinterpret_cast<sockaddr*>(&address), sizeof(address), 0,
+                                   kMaxIdleConnections);
     h2o_socketpool_set_timeout(&pool, loop.Handle(),
                                static_cast<std::uint64_t>(idle_timeout.count()));
   }
@@ -91,7 +91,8 @@
   std::shared_ptr<ConnectionPool> pool;
   std::set<std::shared_ptr<Call>> calls;
 
-  Impl(net::EventLoop& event_loop, IpEndpoint peer_endpoint, const HttpClientOptions& client_options)
+  Impl(net::EventLoop& event_loop, IpEndpoint peer_endpoint,
+       const HttpClientOptions& client_options)
       : loop(event_loop), peer(std::move(peer_endpoint)), options(client_options) {
     h2o_timeout_init(loop.Handle(), &io_timeout, static_cast<std::uint64_t>(kIoTimeout.count()));
     context.loop = loop.Handle();
@@ -229,8 +230,7 @@
   }
 
   milliseconds TimeLeft() const {
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(m_deadline - m_client->loop.Now());
+    const auto left = std::chrono::duration_cast<milliseconds>(m_deadline - m_client->loop.Now());
     return std::max(milliseconds(0), left);
   }
 
--- a/libs/http/src/http_message.cc
+++ b/libs/http/src/http_message.cc
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kHopByHopNames{
-    "connection", "keep-alive",        "proxy-connection", "te",     "trailer",
-    "trailers",   "transfer-encoding", "upgrade",          "content-length"};
+    "connection",        "keep-alive", "proxy-connection", "te", "trailer", "trailers",
+    "transfer-encoding", "upgrade",    "content-length"};
 
 struct StatusReason {
   int status;
@@ -109,8 +109,7 @@
 
 std::optional<std::string> QueryParameter(std::string_view path_and_query, std::string_view name) {
   const std::size_t start = path_and_query.find('?');
-  std::string_view rest =
-      start == std::string_view::npos ? "" : path_and_query.substr(start + 1);
+  std::string_view rest = start == std::string_view::npos ? "" : path_and_query.substr(start + 1);
   while (!rest.empty()) {
     const std::size_t end = rest.find('&');
     const std::string_view pair = rest.substr(0, end);
@@ -143,10 +142,9 @@
   const std::vector<std::string> named = NamesInConnectionFields(headers);
   HttpHeaders kept;
   for (const HttpHeader& header : headers) {
-    const bool hop_by_hop =
-        std::find(kHopByHopNames.begin(), kHopByHopNames.end(), header.name) !=
-            kHopByHopNames.end() ||
-        std::find(named.begin(), named.end(), header.name) != named.end();
+    const bool hop_by_hop = std::find(kHopByHopNames.begin(), kHopByHopNames.end(), header.name) !=
+                                kHopByHopNames.end() ||
+                            std::find(named.begin(), named.end(), header.name) != named.end();
     if (!hop_by_hop) {
       kept.push_back(header);
     }
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -154,8 +154,7 @@
       request->http1_is_persistent = 0;
     }
     for (const HttpHeader& header : WithoutHopByHop(response.headers)) {
-      const h2o_iovec_t name =
-          h2o_strdup(&request->pool, header.name.data(), header.name.size());
+      const h2o_iovec_t name = h2o_strdup(&request->pool, header.name.data(), header.name.size());
       const h2o_iovec_t value =
           h2o_strdup(&request->pool, header.value.data(), header.value.size());
       h2o_add_header_by_str(&request->pool, &request->res.headers, name.base, name.len, 1, nullptr,
@@ -214,8 +213,8 @@
   const sockaddr_in address = ToSockaddr(m_impl->options.listen);
   int status = uv_tcp_bind(listener, reinterpret_cast<const sockaddr*>(&address), 0);
   if (status == 0) {
-    status = uv_listen(reinterpret_cast<uv_stream_t*>(listener), kListenBacklog,
-                       Impl::OnConnection);
+    status =
+        uv_listen(reinterpret_cast<uv_stream_t*>(listener), kListenBacklog, Impl::OnConnection);
   }
   if (status != 0) {
     StopAccepting();
