--- a/libs/http/include/quetzalhinge/http/http_server.h
+++ b/libs/http/include/quetzalhinge/http/http_server.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "quetzalhinge/base/error.h"
 #include "quetzalhinge/base/ip_endpoint.h"
@@ -38,6 +39,21 @@
 
   /** Sends the response. Must be called once; does nothing if the connection is gone. */
   virtual void Respond(HttpResponse response) = 0;
+
+  /**
+   * Looks at the socket for the peer's end of stream. h2o does not read while a response is owed,
+   * so IsConnected() learns of a closed connection only when the response is sent.
+   */
+  virtual bool HasPeerClosed() const noexcept { return !IsConnected(); }
+
+  /**
+   * Closes the connection in place of a response, after sending `raw_bytes` as they are. For
+   * stand-ins that cut or lose answers.
+   */
+  virtual void Abort(std::string_view raw_bytes) {
+    (void)raw_bytes;
+    Respond({500, {}, "", true});
+  }
 };
 
 /** HTTP/1.1 server on h2o. Bodies are read completely before the handler runs. */
@@ -62,6 +78,9 @@
   /** Closes the listener; open connections go on. */
   void StopAccepting();
 
+  /** Shuts down all open connections in both directions, without answering their requests. */
+  void AbortConnections();
+
   /** Returns the number of open connections. */
   std::size_t OpenConnections() const noexcept;
 
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -2,8 +2,11 @@
 
 #include <h2o.h>
 #include <h2o/http1.h>
+#include <sys/socket.h>
 
+#include <cerrno>
 #include <cstdlib>
+#include <unordered_map>
 #include <utility>
 
 #include "framing_check.h"
@@ -43,6 +46,7 @@
   struct Connection {
     uv_tcp_t handle;
     std::shared_ptr<Impl> server;
+    const h2o_socket_t* socket = nullptr;
   };
 
   class Exchange;
@@ -57,6 +61,8 @@
   uv_tcp_t* listener = nullptr;
   IpEndpoint local;
   std::size_t open_connections = 0;
+  /** Open connections by their h2o socket, to find the descriptor of a request's connection. */
+  std::unordered_map<const h2o_socket_t*, Connection*> connections;
   std::size_t in_progress = 0;
   bool stopped = false;
 
@@ -96,15 +102,30 @@
       return;
     }
     uv_tcp_nodelay(&connection->handle, 1);
-    h2o_accept(&server->accept_context, h2o_uv_socket_create(stream, OnConnectionClosed));
+    h2o_socket_t* socket = h2o_uv_socket_create(stream, OnConnectionClosed);
+    connection->socket = socket;
+    server->connections[socket] = connection;
+    h2o_accept(&server->accept_context, socket);
   }
 
   static void OnConnectionClosed(uv_handle_t* handle) {
     auto* connection = reinterpret_cast<Connection*>(handle);
-    --connection->server->open_connections;
+    Impl& server = *connection->server;
+    --server.open_connections;
+    // h2o frees its socket before this callback, so a newer connection may have the same address.
+    const auto entry = server.connections.find(connection->socket);
+    if (entry != server.connections.end() && entry->second == connection) {
+      server.connections.erase(entry);
+    }
     delete connection;
   }
 
+  static int DescriptorOf(const Connection& connection) {
+    uv_os_fd_t descriptor = -1;
+    const auto* handle = reinterpret_cast<const uv_handle_t*>(&connection.handle);
+    return uv_is_closing(handle) == 0 && uv_fileno(handle, &descriptor) == 0 ? descriptor : -1;
+  }
+
   /** Connections and exchanges share this object, because libuv closes sockets later. */
   std::weak_ptr<Impl> self;
 };
@@ -164,7 +185,37 @@
     h2o_send_inline(request, response.body.data(), response.body.size());
   }
 
+  bool HasPeerClosed() const noexcept override {
+    if (m_h2o_request == nullptr) {
+      return true;
+    }
+    char byte = 0;
+    const ssize_t size = recv(Descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
+  void Abort(std::string_view raw_bytes) override {
+    if (m_answered) {
+      return;
+    }
+    if (m_h2o_request != nullptr) {
+      const int descriptor = Descriptor();
+      if (!raw_bytes.empty()) {
+        (void)send(descriptor, raw_bytes.data(), raw_bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+      }
+      shutdown(descriptor, SHUT_RDWR);
+    }
+    // The write fails on the closed socket, and h2o then frees the connection.
+    Respond({500, {}, "", true});
+  }
+
  private:
+  int Descriptor() const noexcept {
+    const h2o_socket_t* socket = m_h2o_request->conn->callbacks->get_socket(m_h2o_request->conn);
+    const auto entry = m_server->connections.find(socket);
+    return entry != m_server->connections.end() ? DescriptorOf(*entry->second) : -1;
+  }
+
   static void OnRequestDisposed(void* data) {
     Exchange* exchange = *static_cast<Exchange**>(data);
     if (exchange != nullptr) {
@@ -238,6 +289,12 @@
   }
 }
 
+void HttpServer::AbortConnections() {
+  for (const auto& [socket, connection] : m_impl->connections) {
+    shutdown(Impl::DescriptorOf(*connection), SHUT_RDWR);
+  }
+}
+
 std::size_t HttpServer::OpenConnections() const noexcept { return m_impl->open_connections; }
 
 std::size_t HttpServer::InProgress() const noexcept { return m_impl->in_progress; }
--- /dev/null
+++ b/libs/standin/include/quetzalhinge/standin/program.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "quetzalhinge/net/event_loop.h"
+#include "quetzalhinge/settings/command_line.h"
+#include "quetzalhinge/settings/ini_document.h"
+
+namespace qh::standin {
+
+/** Reads the file of --settings; exits with ExitCode::kWrongCommandLine if it was not given. */
+settings::IniDocument ReadSettingsOrExit(const std::string& program,
+                                         const settings::CommandLine& command_line);
+
+/**
+ * Prints all problems and exits with ExitCode::kWrongSettings if there are any; otherwise exits
+ * with ExitCode::kSuccess if --check was given, and returns if not.
+ */
+void ExitOnProblemsOrCheck(const settings::CommandLine& command_line,
+                           const std::vector<settings::SettingsProblem>& problems);
+
+/** Logs `error` and returns ExitCode::kRuntimeFailure as the result of main(). */
+int FailAtRunTime(const std::string& component, const Error& error);
+
+/** Runs the loop until SIGTERM or SIGINT; returns the exit code for main(). */
+int RunUntilStopSignal(net::EventLoop& loop, const std::string& component);
+
+}  // namespace qh::standin
--- /dev/null
+++ b/libs/standin/src/json_http.cc
@@ -0,0 +1,24 @@
+#include "quetzalhinge/standin/json_http.h"
+
+namespace qh::standin {
+
+using nlohmann::json;
+
+http::HttpResponse JsonResponse(int status, const json& body) {
+  return {status, {{"content-type", "application/json"}}, body.dump(), false};
+}
+
+http::HttpResponse WithJsonObject(const std::string& body,
+                                  const std::function<http::HttpResponse(const json&)>& use) {
+  try {
+    const json object = json::parse(body);
+    if (!object.is_object()) {
+      return JsonResponse(400, {{"message", "the body is not a JSON object"}});
+    }
+    return use(object);
+  } catch (const json::exception& error) {
+    return JsonResponse(400, {{"message", error.what()}});
+  }
+}
+
+}  // namespace qh::standin
