Carry rate loans and notices in the form of the decision modules

The first schema named rates and VM names; the ledger lends fractions of a contract between slots, so that the sum holds while VMs hold different revisions. Notices gain the detail field that suspects need.

--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -119,6 +119,7 @@
         m_ambiguous(ambiguous) {
     ++m_server->in_progress;
     // The pool of the request frees this link when h2o disposes the request.
+    // NOLINTNEXTLINE(bugprone-sizeof-expression): the pool holds a pointer, not the exchange.
     m_link = static_cast<Exchange**>(
         h2o_mem_alloc_shared(&request->pool, sizeof(Exchange*), OnRequestDisposed));
     *m_link = this;
--- a/libs/rpc/schema/processes.capnp
+++ b/libs/rpc/schema/processes.capnp
@@ -50,8 +50,8 @@
 struct Notice {
   kind @0 :UInt8;
   subject @1 :Text;
-  value @2 :UInt64;
-  origin @3 :Text;
+  detail @2 :Text;
+  value @3 :UInt64;
   stampMicros @4 :Int64;
   lifetimeMillis @5 :UInt32;
 }
@@ -85,12 +85,21 @@
   workers @1 :List(Worker);
 }
 
-struct Loan {
-  # Requests a second; 0 if nothing is lent.
-  ratePerSecond @0 :Float64;
-  lifetimeMillis @1 :UInt32;
-  # Same number for the same loan, so that a repeated answer is counted once.
-  id @2 :UInt64;
+# A request of one entry VM to use part of another one's share of a customer's contract.
+struct BorrowRequest {
+  requestId @0 :UInt64;
+  borrowerSlot @1 :UInt32;
+  lenderSlot @2 :UInt32;
+  # Wanted part of the whole contract.
+  fraction @3 :Float64;
+  lifetimeMillis @4 :UInt32;
+}
+
+struct LoanGrant {
+  requestId @0 :UInt64;
+  borrowerSlot @1 :UInt32;
+  lenderSlot @2 :UInt32;
+  fraction @3 :Float64;
 }
 
 enum KeyState {
@@ -98,6 +107,8 @@
   running @1;
   done @2;
   unknown @3;
+  # The holder could not make sure that the key never starts.
+  notBarred @6;
   # The address belongs to another incarnation than the key's.
   lost @4;
   # The fingerprint differs from the one that the key was first used with.
@@ -133,8 +144,8 @@
   attach @0 (hello :EntryHello, agent :EntryAgent) -> ();
   reportStatus @1 (status :EntryStatus) -> ();
   publishNotice @2 (notice :Notice) -> ();
-  # Asks the entry VM `lender` for a part of its share of a customer's rate.
-  borrow @3 (lender :Text, customer :Text, ratePerSecond :Float64) -> (loan :Loan);
+  # Asks the entry VM at the request's lender slot.
+  borrow @3 (customer :Text, request :BorrowRequest) -> (granted :Bool, grant :LoanGrant);
 }
 
 # Served by qh-entry to the qh-control of the same VM.
@@ -144,7 +155,7 @@
   applyNotice @2 (notice :Notice) -> ();
   # Confirms that the revision was the newest one known to the platform or to a peer.
   confirm @3 (revision :UInt64, ageMillis :UInt32) -> ();
-  lend @4 (borrower :Text, customer :Text, ratePerSecond :Float64) -> (loan :Loan);
+  lend @4 (customer :Text, request :BorrowRequest) -> (granted :Bool, grant :LoanGrant);
   drain @5 () -> ();
   # Events as JSON array.
   timeline @6 (filterJson :Text) -> (eventsJson :Text);
@@ -153,7 +164,7 @@
 # Served by qh-control to the qh-control of other entry VMs.
 interface ControlPeer {
   changesSince @0 (revision :UInt64) -> (changes :ContractChanges);
-  borrow @1 (borrower :Text, customer :Text, ratePerSecond :Float64) -> (loan :Loan);
+  borrow @1 (customer :Text, request :BorrowRequest) -> (granted :Bool, grant :LoanGrant);
 }
 
 # Served by qh-entry to the qh-entry of other entry VMs.
