Add the request path of qh-entry

Calls, address answers, keys that run at most once with questions to their holder, admission, queues by work class, attempts and retries, the link to qh-control, graceful shutdown.

--- /dev/null
+++ b/apps/qh-entry/src/entry_process.cc
@@ -0,0 +1,290 @@
+#include "entry_process.h"
+
+#include <utility>
+
+#include "address_book.h"
+#include "call_service.h"
+#include "control_link.h"
+#include "key_service.h"
+#include "peer_link.h"
+#include "quetzalhinge/http/http_server.h"
+#include "quetzalhinge/logging/log.h"
+#include "quetzalhinge/rpc/kj_event_loop.h"
+
+namespace qh::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kReportInterval{200};
+constexpr milliseconds kBorrowInterval{50};
+constexpr milliseconds kDrainPollInterval{50};
+/** Callers may have read an answer that names this VM just before it began to leave. */
+constexpr milliseconds kDrainExtra{1000};
+
+contract::ContractBookOptions BookOptions(const vm_settings::EntryVmSettings& settings) {
+  contract::ContractBookOptions options;
+  options.confirmation_limit = settings.confirmation_limit;
+  return options;
+}
+
+AddressBookOptions AddressOptions(const vm_settings::EntryVmSettings& settings) {
+  return {settings.zone, static_cast<std::uint32_t>(settings.vm_count),
+          static_cast<std::uint32_t>(settings.home_slots)};
+}
+
+http::HttpServerOptions CallerServerOptions(const vm_settings::EntryVmSettings& settings) {
+  return {settings.addresses.callers, settings.max_body_bytes, settings.caller_timeout};
+}
+
+http::HttpServerOptions AdminServerOptions(const vm_settings::EntryVmSettings& settings) {
+  http::HttpServerOptions options;
+  options.listen = settings.addresses.entry_admin;
+  return options;
+}
+
+}  // namespace
+
+struct EntryProcess::Impl : ControlListener {
+  net::EventLoop& loop;
+  const vm_settings::EntryVmSettings& settings;
+  TimePoint started;
+  RandomGenerator generator = MakeSeededGenerator();
+  std::uint64_t incarnation = generator();
+  metrics::MetricsRegistry metrics;
+  EventLog events;
+  rpc::KjEventLoop kj_loop;
+  auth::MessageAuthenticator authenticator;
+  contract::ContractBook book;
+  CustomerTable customers;
+  WorkerPool workers;
+  KeyService keys;
+  AddressBook addresses;
+  PeerLink peers;
+  CallService calls;
+  ControlLink control;
+  http::HttpServer caller_server;
+  http::HttpServer admin_server;
+  net::Timer report_timer;
+  net::Timer borrow_timer;
+  net::Timer drain_timer;
+  TimePoint drain_started;
+  bool has_view = false;
+  settings::ExitCode exit_code = settings::ExitCode::kSuccess;
+
+  Impl(net::EventLoop& event_loop, const vm_settings::EntryVmSettings& vm_settings)
+      : loop(event_loop),
+        settings(vm_settings),
+        started(event_loop.Now()),
+        events(vm_settings.name, "qh-entry", vm_settings.timeline_capacity),
+        kj_loop(event_loop),
+        authenticator(vm_settings.deployment_key),
+        book(BookOptions(vm_settings)),
+        customers(vm_settings, started),
+        workers(event_loop, vm_settings, metrics, events, generator),
+        keys(vm_settings, incarnation, authenticator, generator),
+        addresses(AddressOptions(vm_settings), keys.Authority()),
+        peers(kj_loop, vm_settings,
+              [this](const std::string& key, std::uint64_t fingerprint) {
+                return keys.ResolveForPeer(key, fingerprint);
+              }),
+        calls(CallContext{event_loop, vm_settings, book, customers, workers, keys, events, metrics,
+                          generator},
+              addresses),
+        control(kj_loop, vm_settings, incarnation, *this),
+        caller_server(event_loop, CallerServerOptions(vm_settings),
+                      [this](std::shared_ptr<http::HttpExchange> exchange) {
+                        calls.Handle(std::move(exchange));
+                      }),
+        admin_server(event_loop, AdminServerOptions(vm_settings),
+                     [this](const std::shared_ptr<http::HttpExchange>& exchange) {
+                       HandleAdmin(*exchange);
+                     }),
+        report_timer(event_loop, [this] { Report(); }),
+        borrow_timer(event_loop, [this] { SendBorrowRequests(); }),
+        drain_timer(event_loop, [this] { ContinueDrain(); }) {
+    keys.SetPeers(addresses, peers);
+    workers.SetNoticePublisher(
+        [this](const membership::Notice& notice) { control.Publish(notice); });
+  }
+
+  contract::Revision OnContracts(contract::ChangesAnswer changes) override {
+    const contract::Revision before = book.CurrentRevision();
+    if (auto* snapshot = std::get_if<contract::ContractSnapshot>(&changes)) {
+      book.TakeSnapshot(std::move(*snapshot));
+    } else {
+      for (contract::ContractChange& change :
+           std::get<std::vector<contract::ContractChange>>(changes)) {
+        book.Apply(std::move(change));
+      }
+    }
+    if (book.CurrentRevision() != before) {
+      customers.Update(book, loop.Now());
+      const std::string revision = std::to_string(book.CurrentRevision());
+      logging::LogChange("contracts", "apply", {{"revision", revision}});
+      events.Add("contracts_applied", "", "", "", "revision " + revision);
+      Report();
+    }
+    return book.CurrentRevision();
+  }
+
+  void OnView(std::vector<EntryVm> vms, const std::vector<ListedWorker>& listed) override {
+    addresses.Update(std::move(vms));
+    workers.ApplyList(listed);
+    has_view = true;
+  }
+
+  void OnNotice(const membership::Notice& notice) override {
+    if (notice.kind == membership::NoticeKind::kContractRevision) {
+      book.HearOf(notice.value);
+    } else {
+      workers.ApplyNotice(notice);
+    }
+  }
+
+  void OnConfirmation(contract::Revision revision, Duration age) override {
+    book.Confirm(revision, loop.Now() - age);
+    UpdateReadiness();
+  }
+
+  std::optional<limits::LoanGrant> OnBorrow(const std::string& customer,
+                                            const limits::BorrowRequest& request) override {
+    return customers.Lend(customer, request, loop.Now());
+  }
+
+  void OnGrant(const std::string& customer, const limits::LoanGrant& grant) override {
+    customers.OnGrant(customer, grant, loop.Now());
+  }
+
+  void OnDrain() override { BeginDrain(); }
+
+  std::string OnTimeline(const std::string& filter_json) override {
+    return events.SelectJson(ParseEventFilter(filter_json));
+  }
+
+  bool IsReady() const {
+    return has_view && book.IsConfirmed(loop.Now()) &&
+           loop.Now() - started >= CustomerTable::WarmUp();
+  }
+
+  void UpdateReadiness() {
+    if (calls.State() == ServiceState::kNotReady && IsReady()) {
+      calls.SetState(ServiceState::kServing);
+      logging::LogChange("entry", "serve",
+                         {{"revision", std::to_string(book.CurrentRevision())}});
+      events.Add("serving", "", "", "", "");
+    }
+  }
+
+  void Report() {
+    UpdateReadiness();
+    const bool draining =
+        calls.State() == ServiceState::kDraining || calls.State() == ServiceState::kStopped;
+    control.Report({static_cast<std::uint32_t>(calls.InProgress()), book.CurrentRevision(),
+                    calls.State() == ServiceState::kServing && IsReady(), draining});
+  }
+
+  void SendBorrowRequests() {
+    for (const CustomerBorrowRequest& request : customers.PlanRequests(loop.Now(), generator)) {
+      control.Borrow(request);
+    }
+  }
+
+  void HandleAdmin(http::HttpExchange& exchange) {
+    const std::string& path = exchange.Request().path;
+    if (http::PathOnly(path) == "/metrics") {
+      metrics.GaugeOf("qh_calls_in_progress").Set(static_cast<double>(calls.InProgress()));
+      metrics.GaugeOf("qh_attempts_in_progress").Set(static_cast<double>(workers.InProgress()));
+      metrics.GaugeOf("qh_contract_revision").Set(static_cast<double>(book.CurrentRevision()));
+      metrics.GaugeOf("qh_keys").Set(static_cast<double>(keys.Table().Size()));
+      metrics.GaugeOf("qh_key_response_bytes")
+          .Set(static_cast<double>(keys.Table().ResponseBytes()));
+      exchange.Respond(
+          {200, {{"content-type", "text/plain; version=0.0.4"}}, metrics.PrometheusText(), false});
+    } else if (http::PathOnly(path) == "/v1/timeline") {
+      timeline::EventFilter filter;
+      filter.request_id = http::QueryParameter(path, "request").value_or("");
+      filter.customer = http::QueryParameter(path, "customer").value_or("");
+      filter.worker = http::QueryParameter(path, "worker").value_or("");
+      exchange.Respond({200,
+                        {{"content-type", "application/json"}},
+                        "{\"events\":" + events.SelectJson(filter) + "}",
+                        false});
+    } else {
+      exchange.Respond({404, {}, "", false});
+    }
+  }
+
+  void BeginDrain() {
+    if (calls.State() == ServiceState::kDraining || calls.State() == ServiceState::kStopped) {
+      return;
+    }
+    drain_started = loop.Now();
+    calls.SetState(ServiceState::kDraining);
+    logging::LogChange("entry", "drain",
+                       {{"in_progress", std::to_string(calls.InProgress())}});
+    events.Add("drain_started", "", "", "", "");
+    Report();
+    drain_timer.StartRepeating(kDrainPollInterval);
+  }
+
+  void ContinueDrain() {
+    const Duration elapsed = loop.Now() - drain_started;
+    if (calls.State() == ServiceState::kDraining &&
+        elapsed >= settings.address_ttl + kDrainExtra) {
+      calls.SetState(ServiceState::kStopped);
+      caller_server.StopAccepting();
+    }
+    if (calls.State() == ServiceState::kStopped && calls.InProgress() == 0 &&
+        caller_server.InProgress() == 0) {
+      End(settings::ExitCode::kSuccess);
+    } else if (elapsed >= settings.drain_limit) {
+      End(settings::ExitCode::kStopCutRequests);
+    }
+  }
+
+  void End(settings::ExitCode code) {
+    // A stop that is forced while nothing is in progress has cut nothing.
+    exit_code = calls.InProgress() == 0 ? settings::ExitCode::kSuccess : code;
+    logging::LogChange("entry", "stop", {{"cut_requests", std::to_string(calls.InProgress())}});
+    drain_timer.Stop();
+    loop.Stop();
+  }
+};
+
+EntryProcess::EntryProcess(net::EventLoop& loop, const vm_settings::EntryVmSettings& settings)
+    : m_impl(std::make_unique<Impl>(loop, settings)) {}
+
+EntryProcess::~EntryProcess() = default;
+
+Result<Success> EntryProcess::Start() {
+  for (http::HttpServer* server : {&m_impl->caller_server, &m_impl->admin_server}) {
+    Result<Success> started = server->Start();
+    if (!IsOk(started)) {
+      return started;
+    }
+  }
+  Result<Success> peers_started = m_impl->peers.Start();
+  if (!IsOk(peers_started)) {
+    return peers_started;
+  }
+  m_impl->control.Start();
+  m_impl->report_timer.StartRepeating(kReportInterval);
+  m_impl->borrow_timer.StartRepeating(kBorrowInterval);
+  logging::LogChange("entry", "start",
+                     {{"vm", m_impl->settings.name},
+                      {"callers", ToString(m_impl->settings.addresses.callers)}});
+  return Success{};
+}
+
+void EntryProcess::OnStopSignal(int count) {
+  if (count == 1) {
+    m_impl->BeginDrain();
+  } else {
+    m_impl->End(settings::ExitCode::kStopCutRequests);
+  }
+}
+
+settings::ExitCode EntryProcess::Exit() const noexcept { return m_impl->exit_code; }
+
+}  // namespace qh::entry
--- /dev/null
+++ b/apps/qh-entry/src/peer_link.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "address_book.h"
+#include "quetzalhinge/idempotency/key_table.h"
+#include "quetzalhinge/net/timer.h"
+#include "quetzalhinge/rpc/kj_event_loop.h"
+#include "quetzalhinge/vm_settings/entry_vm_settings.h"
+
+namespace qh::entry {
+
+/** Answers another VM's question about a key. */
+using KeyResolver =
+    std::function<idempotency::ResolveResult(const std::string& key, std::uint64_t fingerprint)>;
+
+/** The connections between the qh-entry processes of different VMs, in both directions. */
+class PeerLink {
+ public:
+  /** Gets the holder's answer, or nothing if the holder did not answer in time. */
+  using ResolveCallback = std::function<void(std::optional<idempotency::ResolveResult>)>;
+
+  PeerLink(rpc::KjEventLoop& kj_loop, const vm_settings::EntryVmSettings& settings,
+           KeyResolver resolver);
+  ~PeerLink();
+  PeerLink(const PeerLink&) = delete;
+  PeerLink& operator=(const PeerLink&) = delete;
+
+  /** Starts to serve other VMs. */
+  Result<Success> Start();
+
+  /** Asks the entry VM `holder` about a key. `callback` runs once, within 500 ms. */
+  void ResolveKey(const EntryVm& holder, const std::string& key, std::uint64_t fingerprint,
+                  ResolveCallback callback);
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace qh::entry
--- /dev/null
+++ b/apps/qh-entry/src/worker_pool.cc
@@ -0,0 +1,481 @@
+#include "worker_pool.h"
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+#include <utility>
+
+#include "crash_notices.h"
+#include "quetzalhinge/http/http_message.h"
+#include "quetzalhinge/logging/log.h"
+
+namespace qh::entry {
+namespace {
+
+using routing::RequestOutcome;
+using routing::SignSource;
+using routing::WorkerSign;
+using routing::WorkerState;
+using std::chrono::milliseconds;
+
+/** How long a notice about a leaving worker is spread; longer than the VM list's lag. */
+constexpr milliseconds kWorkerNoticeLifetime{60000};
+
+/** Broken connections to one worker within this time count as one loss of the worker. */
+constexpr milliseconds kLossWindow{1000};
+
+/** A leaving worker that the list calls live is probed only after this time. */
+constexpr std::chrono::seconds kReturnProbeDelay{10};
+
+constexpr milliseconds kProbeTimeout{1000};
+
+RequestOutcome OutcomeOf(AttemptEnd end, int status) {
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      return status >= 500 ? RequestOutcome::kFailed : RequestOutcome::kSucceeded;
+    case AttemptEnd::kShed:
+      return RequestOutcome::kShed;
+    case AttemptEnd::kTimedOut:
+      return RequestOutcome::kTimedOut;
+    case AttemptEnd::kNotConnected:
+    case AttemptEnd::kFailed:
+    case AttemptEnd::kBadAnswer:
+      break;
+  }
+  return RequestOutcome::kFailed;
+}
+
+/** Parses "<in progress>/<slots>". */
+std::optional<routing::LoadReport> ParseLoad(std::string_view text, TimePoint now) {
+  routing::LoadReport report;
+  report.taken = now;
+  const char* end = text.data() + text.size();
+  const auto first = std::from_chars(text.data(), end, report.in_progress);
+  if (first.ec != std::errc() || first.ptr == end || *first.ptr != '/') {
+    return std::nullopt;
+  }
+  const auto second = std::from_chars(first.ptr + 1, end, report.slots);
+  if (second.ec != std::errc() || second.ptr != end || report.in_progress < 0) {
+    return std::nullopt;
+  }
+  return report;
+}
+
+routing::SelectionPolicy ToSelectionPolicy(vm_settings::RoutingPolicy policy) {
+  switch (policy) {
+    case vm_settings::RoutingPolicy::kRandom:
+      return routing::SelectionPolicy::kRandom;
+    case vm_settings::RoutingPolicy::kRoundRobin:
+      return routing::SelectionPolicy::kRoundRobin;
+    case vm_settings::RoutingPolicy::kLeastRequests:
+      return routing::SelectionPolicy::kLeastRequests;
+    case vm_settings::RoutingPolicy::kLoadAware:
+      break;
+  }
+  return routing::SelectionPolicy::kLoadAware;
+}
+
+routing::WorkerTableOptions TableOptions(const vm_settings::EntryVmSettings& settings) {
+  routing::WorkerTableOptions options;
+  options.subset.vm_slot = settings.slot;
+  options.subset.vm_count = settings.vm_count;
+  return options;
+}
+
+}  // namespace
+
+/** Connections and measurements of one worker, beside its row in the WorkerTable. */
+struct WorkerConnections {
+  std::unique_ptr<http::HttpClient> client;
+  limits::ConcurrencyLimit limit;
+  /** Fingerprints in progress, by number of the attempt. */
+  std::map<std::uint64_t, std::uint64_t> in_progress;
+  /** Broken connections up to then belong to a loss that has been reported. */
+  TimePoint loss_reported_until;
+  bool listed_live = false;
+  TimePoint last_probe;
+};
+
+struct WorkerPool::Impl : std::enable_shared_from_this<WorkerPool::Impl> {
+  net::EventLoop& loop;
+  const vm_settings::EntryVmSettings& settings;
+  metrics::MetricsRegistry& metrics;
+  EventLog& events;
+  RandomGenerator& generator;
+  routing::WorkerTable table;
+  routing::RouteClassifier classifier;
+  std::unique_ptr<routing::WorkerSelector> selector;
+  quarantine::CrashSuspects suspects;
+  std::map<std::string, WorkerConnections, std::less<>> connections;
+  std::set<std::string, std::less<>> services;
+  NoticePublisher publish;
+  std::function<void(const std::string&)> on_capacity;
+  net::Timer maintenance;
+  std::uint64_t next_attempt = 1;
+  std::size_t in_progress = 0;
+  metrics::Counter& probes;
+  metrics::Counter& silent_discards;
+
+  Impl(net::EventLoop& event_loop, const vm_settings::EntryVmSettings& vm_settings,
+       metrics::MetricsRegistry& registry, EventLog& event_log, RandomGenerator& random)
+      : loop(event_loop),
+        settings(vm_settings),
+        metrics(registry),
+        events(event_log),
+        generator(random),
+        table(TableOptions(vm_settings)),
+        maintenance(event_loop, [this] { Maintain(); }),
+        probes(registry.CounterOf("qh_probes_total")),
+        silent_discards(registry.CounterOf("qh_idle_connections_discarded_total")) {
+    routing::SelectorOptions options;
+    options.own_zone = settings.zone;
+    selector = routing::MakeWorkerSelector(ToSelectionPolicy(settings.policy), options);
+    maintenance.StartRepeating(std::chrono::seconds(1));
+  }
+
+  void ApplyList(const std::vector<ListedWorker>& listed) {
+    const TimePoint now = loop.Now();
+    std::set<std::string, std::less<>> named;
+    for (const ListedWorker& worker : listed) {
+      named.insert(worker.info.id);
+      ApplyListed(worker, now);
+    }
+    for (auto& [id, connection] : connections) {
+      if (!named.contains(id)) {
+        connection.listed_live = false;
+        ApplySign(id, {WorkerState::kGone, SignSource::kVmList, UnixNow(), ""});
+      }
+    }
+  }
+
+  void ApplyListed(const ListedWorker& worker, TimePoint now) {
+    const routing::Worker* known = table.Find(worker.info.id);
+    const bool is_leaving_here = known != nullptr && known->state == WorkerState::kLeaving;
+    WorkerConnections& connection = ConnectionsOf(worker.info);
+    connection.listed_live = !worker.leaving;
+    if (is_leaving_here && !worker.leaving) {
+      // The list lags, so its "live" does not end a leave: a probe has to agree (Maintain()).
+      return;
+    }
+    const WorkerState state = worker.leaving ? WorkerState::kLeaving : WorkerState::kLive;
+    const bool changed = table.Upsert(
+        worker.info, {state, SignSource::kVmList, UnixNow(), ""}, now);
+    services.insert(worker.info.service);
+    if (changed) {
+      ReportStateChange(worker.info.id, SignSource::kVmList);
+    }
+  }
+
+  WorkerConnections& ConnectionsOf(const routing::WorkerInfo& info) {
+    WorkerConnections& connection = connections.try_emplace(info.id, MakeConnections(info))
+                                        .first->second;
+    // A client that is destroyed drops its calls, so one in use is kept until they have ended.
+    if (connection.client->Peer() != info.endpoint && connection.in_progress.empty()) {
+      connection.client = MakeClient(info.endpoint);
+    }
+    return connection;
+  }
+
+  WorkerConnections MakeConnections(const routing::WorkerInfo& info) {
+    limits::ConcurrencyLimitOptions options;
+    options.max = static_cast<std::uint32_t>(settings.connections_per_worker);
+    options.initial = std::min(options.initial, options.max);
+    return {MakeClient(info.endpoint), limits::ConcurrencyLimit(options), {}, {}, false, {}};
+  }
+
+  std::unique_ptr<http::HttpClient> MakeClient(const IpEndpoint& endpoint) {
+    http::HttpClientOptions options;
+    // Contracts set lower limits; this one bounds memory.
+    options.max_response_bytes = kMaxResponseBytes;
+    return std::make_unique<http::HttpClient>(loop, endpoint, options);
+  }
+
+  static constexpr std::size_t kMaxResponseBytes = 64 * 1024 * 1024;
+
+  void ApplySign(const std::string& id, const WorkerSign& sign) {
+    if (table.Apply(id, sign, loop.Now())) {
+      ReportStateChange(id, sign.source);
+    }
+  }
+
+  void ReportStateChange(const std::string& id, SignSource source) {
+    const routing::Worker* worker = table.Find(id);
+    const char* state = routing::kWorkerStateNames.NameOf(worker->state);
+    const char* source_name = routing::kSignSourceNames.NameOf(source);
+    logging::LogChange("worker_pool", "worker state",
+                       {{"worker", id},
+                        {"service", worker->info.service},
+                        {"state", state},
+                        {"source", source_name}});
+    events.Add("worker_state", "", "", id, std::string(state) + " by " + source_name);
+    const bool spread = source == SignSource::kResponseHeader ||
+                        source == SignSource::kHealthEndpoint;
+    if (spread && worker->state == WorkerState::kLeaving) {
+      Publish(membership::NoticeKind::kWorkerLeaving, id, worker->state_stamp);
+    }
+    if (worker->state == WorkerState::kLive && on_capacity != nullptr) {
+      on_capacity(worker->info.service);
+    }
+  }
+
+  void Publish(membership::NoticeKind kind, const std::string& worker, UnixMicros stamp) {
+    if (publish != nullptr) {
+      publish({kind, worker, "", 0, stamp, kWorkerNoticeLifetime});
+    }
+  }
+
+  void ApplyNotice(const membership::Notice& notice) {
+    if (notice.kind == membership::NoticeKind::kWorkerLeaving) {
+      ApplySign(notice.subject,
+                {WorkerState::kLeaving, SignSource::kNotice, notice.stamp_us, ""});
+      return;
+    }
+    for (const membership::Notice& follow_up :
+         ApplyCrashNotice(suspects, notice, loop.Now(), UnixNow())) {
+      PublishCrash(follow_up);
+    }
+  }
+
+  void PublishCrash(const membership::Notice& notice) {
+    logging::LogChange("worker_pool", "crash finding",
+                       {{"kind", membership::kNoticeKindNames.NameOf(notice.kind)},
+                        {"fingerprint", notice.subject},
+                        {"detail", notice.detail}});
+    events.Add("crash_finding", "", "", notice.detail, notice.subject);
+    if (publish != nullptr) {
+      publish(notice);
+    }
+  }
+
+  std::optional<std::string> Select(const std::string& service, routing::WorkClass work_class,
+                                    std::span<const std::string> excluded) {
+    routing::SelectionRequest request;
+    request.work_class = work_class;
+    request.reserved_share = classifier.ReservedShare(service, loop.Now());
+    request.excluded = excluded;
+    const routing::Worker* worker =
+        selector->Select(table.Candidates(service), request, loop.Now(), generator);
+    return worker == nullptr ? std::nullopt : std::optional<std::string>(worker->info.id);
+  }
+
+  void StartAttempt(AttemptRequest attempt, AttemptCallback callback) {
+    const std::uint64_t number = next_attempt++;
+    WorkerConnections& connection = connections.find(attempt.worker)->second;
+    connection.in_progress.emplace(number, attempt.fingerprint);
+    table.Started(attempt.worker, attempt.profile.work_class);
+    ++in_progress;
+    const auto own_in_progress =
+        static_cast<std::uint32_t>(table.Find(attempt.worker)->InProgress());
+    const TimePoint started = loop.Now();
+    const http::HttpRequest request = std::move(attempt.request);
+    const milliseconds timeout = attempt.timeout;
+    http::HttpClient& client = *connection.client;
+    client.Start(request, timeout,
+                 [self = weak_from_this(), number, started, own_in_progress,
+                  attempt = std::move(attempt),
+                  callback = std::move(callback)](http::HttpCallResult result) {
+                   if (const std::shared_ptr<Impl> impl = self.lock()) {
+                     callback(impl->Finish(number, started, own_in_progress, attempt,
+                                           std::move(result)));
+                     impl->on_capacity(attempt.route.service);
+                   }
+                 });
+  }
+
+  AttemptResult Finish(std::uint64_t number, TimePoint started, std::uint32_t own_in_progress,
+                       const AttemptRequest& attempt, http::HttpCallResult result) {
+    AttemptResult ended;
+    ended.latency = loop.Now() - started;
+    const bool closed_by_peer = std::holds_alternative<http::HttpCallFailure>(result) &&
+                                std::get<http::HttpCallFailure>(result).closed_by_peer;
+    Classify(attempt, std::move(result), ended);
+    WorkerConnections& connection = connections.find(attempt.worker)->second;
+    if (closed_by_peer && ended.end != AttemptEnd::kNotConnected) {
+      NoteLoss(attempt.worker, connection);
+    }
+    connection.in_progress.erase(number);
+    --in_progress;
+    Learn(attempt, ended, own_in_progress, connection);
+    return ended;
+  }
+
+  static void Classify(const AttemptRequest& attempt, http::HttpCallResult result,
+                       AttemptResult& ended) {
+    if (auto* failure = std::get_if<http::HttpCallFailure>(&result)) {
+      ended.error = std::move(failure->error);
+      if (failure->stage == http::CallStage::kNotConnected) {
+        ended.end = AttemptEnd::kNotConnected;
+      } else if (ended.error.code == ErrorCode::kTimeout) {
+        ended.end = AttemptEnd::kTimedOut;
+      } else {
+        ended.end = failure->stage == http::CallStage::kResponseStarted ? AttemptEnd::kBadAnswer
+                                                                        : AttemptEnd::kFailed;
+      }
+      return;
+    }
+    ended.response = std::move(std::get<http::HttpResponse>(result));
+    const http::HttpHeaders& headers = ended.response.headers;
+    if (http::FindHeader(headers, "x-qh-request-id") != std::string_view(attempt.request_id)) {
+      ended.end = AttemptEnd::kBadAnswer;
+      ended.error = {ErrorCode::kProtocol, "match response", attempt.worker,
+                     "the response names another request"};
+    } else if (ended.response.body.size() > attempt.max_response_bytes) {
+      ended.end = AttemptEnd::kBadAnswer;
+      ended.error = {ErrorCode::kExhausted, "read response body", attempt.worker,
+                     "the response is longer than the contract allows"};
+    } else if (ended.response.status == 503 && http::FindHeader(headers, "x-qh-not-run") == "1") {
+      ended.end = AttemptEnd::kShed;
+    } else {
+      ended.end = AttemptEnd::kAnswered;
+    }
+  }
+
+  /** A worker whose connections break with requests in progress may have crashed by one of them. */
+  void NoteLoss(const std::string& worker, WorkerConnections& connection) {
+    const TimePoint now = loop.Now();
+    if (now < connection.loss_reported_until) {
+      return;
+    }
+    connection.loss_reported_until = now + kLossWindow;
+    std::vector<quarantine::Fingerprint> fingerprints;
+    for (const auto& [number, fingerprint] : connection.in_progress) {
+      fingerprints.push_back(fingerprint);
+    }
+    const quarantine::CrashFindings findings = suspects.OnWorkerLost(worker, fingerprints, now);
+    for (const membership::Notice& notice : ToNotices(findings, UnixNow())) {
+      PublishCrash(notice);
+    }
+  }
+
+  void Learn(const AttemptRequest& attempt, const AttemptResult& ended,
+             std::uint32_t own_in_progress, WorkerConnections& connection) {
+    const TimePoint now = loop.Now();
+    const RequestOutcome outcome = OutcomeOf(ended.end, ended.response.status);
+    table.Finished(attempt.worker,
+                   {attempt.profile.work_class, outcome, ended.latency, attempt.profile.median},
+                   now);
+    if (outcome == RequestOutcome::kSucceeded || outcome == RequestOutcome::kTimedOut) {
+      classifier.Record(attempt.route, ended.latency, now);
+    }
+    if (outcome == RequestOutcome::kSucceeded) {
+      suspects.OnSucceeded(attempt.fingerprint, now);
+      connection.limit.OnResponse(ended.latency, attempt.profile.median, own_in_progress, now);
+    } else if (outcome == RequestOutcome::kShed || outcome == RequestOutcome::kTimedOut) {
+      connection.limit.OnOverload(now);
+    }
+    table.SetOwnLimit(attempt.worker, static_cast<int>(connection.limit.Limit()));
+    if (outcome == RequestOutcome::kTimedOut) {
+      // Whatever made this connection silent may have hit the idle ones too.
+      connection.client->DiscardIdleConnections();
+      silent_discards.Add();
+    }
+    ReadLoadFields(attempt.worker, ended);
+  }
+
+  void ReadLoadFields(const std::string& worker, const AttemptResult& ended) {
+    if (ended.end != AttemptEnd::kAnswered && ended.end != AttemptEnd::kShed) {
+      return;
+    }
+    const http::HttpHeaders& headers = ended.response.headers;
+    if (const auto load = http::FindHeader(headers, "x-qh-load")) {
+      if (const auto report = ParseLoad(*load, loop.Now())) {
+        table.Report(worker, *report);
+      }
+    }
+    if (http::FindHeader(headers, "x-qh-draining") == "1") {
+      ApplySign(worker, {WorkerState::kLeaving, SignSource::kResponseHeader, UnixNow(), ""});
+    }
+  }
+
+  void Maintain() {
+    const TimePoint now = loop.Now();
+    table.EraseGone(now);
+    std::erase_if(connections, [this](const auto& entry) {
+      return table.Find(entry.first) == nullptr && entry.second.in_progress.empty();
+    });
+    for (auto& [id, connection] : connections) {
+      const routing::Worker* worker = table.Find(id);
+      const bool may_be_back = worker != nullptr && worker->state == WorkerState::kLeaving &&
+                               connection.listed_live &&
+                               now - worker->state_applied >= kReturnProbeDelay;
+      if (may_be_back && MayProbe(connection, now)) {
+        ProbeReturn(id, connection);
+      }
+    }
+  }
+
+  /** Each VM takes its part of the probes that a worker may receive from all of them. */
+  bool MayProbe(WorkerConnections& connection, TimePoint now) {
+    if (settings.probe_budget <= 0) {
+      return false;
+    }
+    const std::chrono::duration<double> interval(settings.vm_count / settings.probe_budget);
+    if (now - connection.last_probe < interval) {
+      return false;
+    }
+    connection.last_probe = now;
+    return true;
+  }
+
+  void ProbeReturn(const std::string& id, WorkerConnections& connection) {
+    probes.Add();
+    connection.client->StartOnNewConnection(
+        {"GET", "/health", {}, ""}, kProbeTimeout,
+        [self = weak_from_this(), id](const http::HttpCallResult& result) {
+          const std::shared_ptr<Impl> impl = self.lock();
+          const auto* response = std::get_if<http::HttpResponse>(&result);
+          if (impl != nullptr && response != nullptr && response->status == 200) {
+            impl->ApplySign(id, {WorkerState::kLive, SignSource::kVmList, UnixNow(), ""});
+          }
+        });
+  }
+};
+
+WorkerPool::WorkerPool(net::EventLoop& loop, const vm_settings::EntryVmSettings& settings,
+                       metrics::MetricsRegistry& metrics, EventLog& events,
+                       RandomGenerator& generator)
+    : m_impl(std::make_shared<Impl>(loop, settings, metrics, events, generator)) {}
+
+WorkerPool::~WorkerPool() = default;
+
+void WorkerPool::SetNoticePublisher(NoticePublisher publisher) {
+  m_impl->publish = std::move(publisher);
+}
+
+void WorkerPool::SetCapacityCallback(std::function<void(const std::string&)> callback) {
+  m_impl->on_capacity = std::move(callback);
+}
+
+void WorkerPool::ApplyList(const std::vector<ListedWorker>& listed) { m_impl->ApplyList(listed); }
+
+void WorkerPool::ApplyNotice(const membership::Notice& notice) { m_impl->ApplyNotice(notice); }
+
+bool WorkerPool::HasService(const std::string& service) const {
+  return m_impl->services.contains(service);
+}
+
+bool WorkerPool::HasLiveWorker(const std::string& service) const {
+  return !m_impl->table.Candidates(service).empty();
+}
+
+std::optional<std::string> WorkerPool::Select(const std::string& service,
+                                              routing::WorkClass work_class,
+                                              std::span<const std::string> excluded) {
+  return m_impl->Select(service, work_class, excluded);
+}
+
+void WorkerPool::StartAttempt(AttemptRequest request, AttemptCallback callback) {
+  m_impl->StartAttempt(std::move(request), std::move(callback));
+}
+
+std::optional<Duration> WorkerPool::QuarantineLeft(std::uint64_t fingerprint) const {
+  return m_impl->suspects.QuarantineLeft(fingerprint, m_impl->loop.Now());
+}
+
+routing::RouteProfile WorkerPool::ProfileOf(const routing::Route& route) const {
+  return m_impl->classifier.ProfileOf(route);
+}
+
+std::size_t WorkerPool::InProgress() const noexcept { return m_impl->in_progress; }
+
+}  // namespace qh::entry
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -119,10 +119,9 @@
         m_ambiguous(ambiguous) {
     ++m_server->in_progress;
     // The pool of the request frees this link when h2o disposes the request.
-    // NOLINTNEXTLINE(bugprone-sizeof-expression): the pool holds a pointer, not the exchange.
-    m_link = static_cast<Exchange**>(
-        h2o_mem_alloc_shared(&request->pool, sizeof(Exchange*), OnRequestDisposed));
-    *m_link = this;
+    m_link = static_cast<Link*>(
+        h2o_mem_alloc_shared(&request->pool, sizeof(Link), OnRequestDisposed));
+    m_link->exchange = this;
   }
 
   ~Exchange() override {
@@ -130,7 +129,7 @@
       Respond(HttpResponse{500, {}, "", true});
     }
     if (m_link != nullptr) {
-      *m_link = nullptr;
+      m_link->exchange = nullptr;
     }
   }
 
@@ -166,8 +165,13 @@
   }
 
  private:
+  /** Lives in the pool of the h2o request. */
+  struct Link {
+    Exchange* exchange;
+  };
+
   static void OnRequestDisposed(void* data) {
-    Exchange* exchange = *static_cast<Exchange**>(data);
+    Exchange* exchange = static_cast<Link*>(data)->exchange;
     if (exchange != nullptr) {
       exchange->m_h2o_request = nullptr;
       exchange->m_link = nullptr;
@@ -176,7 +180,7 @@
 
   std::shared_ptr<Impl> m_server;
   h2o_req_t* m_h2o_request;
-  Exchange** m_link = nullptr;
+  Link* m_link = nullptr;
   HttpRequest m_request;
   bool m_ambiguous;
   bool m_answered = false;
