--- /dev/null
+++ b/libs/membership/include/quetzalhinge/membership/gossip_message.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "quetzalhinge/membership/member_record.h"
+#include "quetzalhinge/membership/notice.h"
+
+namespace qh::membership {
+
+/** One gossip datagram before it is encoded. */
+struct GossipMessage {
+  /** The sender's own record. */
+  MemberRecord sender;
+  std::vector<Notice> notices;
+  std::vector<HeartbeatDigest> heartbeats;
+  /** Records of other members. */
+  std::vector<MemberRecord> records;
+};
+
+/**
+ * Upper bounds on the size of the parts in unpacked Cap'n Proto, which the encoder has to keep:
+ * texts as Text, an endpoint as UInt32 address and UInt16 port, numbers and enums in their own
+ * width, a HeartbeatDigest as a struct of one data word, lists as composite lists.
+ */
+std::size_t EncodedBytes(const MemberRecord& record) noexcept;
+std::size_t EncodedBytes(const Notice& notice) noexcept;
+std::size_t EncodedBytes(const HeartbeatDigest& digest) noexcept;
+
+/** Returns the upper bound for a whole message, framing included. */
+std::size_t EncodedBytes(const GossipMessage& message) noexcept;
+
+}  // namespace qh::membership
