--- /dev/null
+++ b/libs/auth/src/message_authenticator.cc
@@ -0,0 +1,143 @@
+#include "quetzalhinge/auth/message_authenticator.h"
+
+#include <endian.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+namespace qh::auth {
+namespace {
+
+constexpr char kDatagramVersion = 1;
+constexpr std::string_view kDatagramPurpose = "datagram";
+constexpr std::size_t kMinMacPrefixBytes = 8;
+constexpr std::size_t kMinForgetSize = 64;
+/** Stamps are kept beyond max_age, so that a wall clock set back a little admits no replay. */
+constexpr int kForgetAfterAges = 10;
+
+std::string MacUnder(const std::string& key, std::string_view purpose, std::string_view data) {
+  std::string message(purpose);
+  message += '\0';
+  message += data;
+  std::string mac(MessageAuthenticator::kMacBytes, '\0');
+  unsigned int size = 0;
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+       reinterpret_cast<const unsigned char*>(message.data()), message.size(),
+       reinterpret_cast<unsigned char*>(mac.data()), &size);
+  return mac;
+}
+
+std::string EncodeStamp(UnixMicros stamp_us) {
+  const std::uint64_t value = htobe64(static_cast<std::uint64_t>(stamp_us));
+  std::string bytes(sizeof value, '\0');
+  std::memcpy(bytes.data(), &value, sizeof value);
+  return bytes;
+}
+
+UnixMicros DecodeStamp(std::string_view bytes) {
+  std::uint64_t value = 0;
+  std::memcpy(&value, bytes.data(), sizeof value);
+  return static_cast<UnixMicros>(be64toh(value));
+}
+
+Error Refuse(ErrorCode code, const std::string& sender, const std::string& detail) {
+  return {code, "open datagram", sender, detail};
+}
+
+}  // namespace
+
+MessageAuthenticator::MessageAuthenticator(std::vector<std::string> keys,
+                                           AuthenticatorOptions options)
+    : m_keys(std::move(keys)), m_options(options), m_forget_at_size(kMinForgetSize) {}
+
+Result<MessageAuthenticator> MessageAuthenticator::Create(std::vector<std::string> keys,
+                                                          AuthenticatorOptions options) {
+  const bool is_valid =
+      !keys.empty() && std::all_of(keys.begin(), keys.end(), [](const std::string& key) {
+        return key.size() >= kMinKeyBytes;
+      });
+  if (!is_valid) {
+    return Error{ErrorCode::kInvalidArgument, "create authenticator", "",
+                 "each key needs at least " + std::to_string(kMinKeyBytes) + " bytes"};
+  }
+  return MessageAuthenticator(std::move(keys), options);
+}
+
+std::string MessageAuthenticator::Mac(std::string_view purpose, std::string_view data) const {
+  return MacUnder(m_keys.front(), purpose, data);
+}
+
+bool MessageAuthenticator::Verify(std::string_view purpose, std::string_view data,
+                                  std::string_view mac) const {
+  if (mac.size() < kMinMacPrefixBytes || mac.size() > kMacBytes) {
+    return false;
+  }
+  return std::any_of(m_keys.begin(), m_keys.end(), [&](const std::string& key) {
+    return CRYPTO_memcmp(MacUnder(key, purpose, data).data(), mac.data(), mac.size()) == 0;
+  });
+}
+
+std::string MessageAuthenticator::Seal(std::string_view sender, std::string_view payload,
+                                       UnixMicros now_us) {
+  m_last_sent_us = std::max(m_last_sent_us + 1, now_us);
+  const std::string_view name = sender.substr(0, kMaxSenderBytes);
+  std::string content(1, kDatagramVersion);
+  content += static_cast<char>(name.size());
+  content += EncodeStamp(m_last_sent_us);
+  content += name;
+  content += payload;
+  return Mac(kDatagramPurpose, content) + content;
+}
+
+Result<OpenedDatagram> MessageAuthenticator::Open(std::string_view datagram, UnixMicros now_us) {
+  if (datagram.size() < OverheadBytes(0) || datagram[kMacBytes] != kDatagramVersion) {
+    return Refuse(ErrorCode::kProtocol, "", "too short or of another version");
+  }
+  const std::string_view content = datagram.substr(kMacBytes);
+  if (!Verify(kDatagramPurpose, content, datagram.substr(0, kMacBytes))) {
+    return Refuse(ErrorCode::kUnauthenticated, "", "wrong authentication code");
+  }
+  const auto sender_bytes = static_cast<unsigned char>(content[1]);
+  if (content.size() < kHeaderBytes + sender_bytes) {
+    return Refuse(ErrorCode::kProtocol, "", "ends within the sender's name");
+  }
+  OpenedDatagram opened;
+  opened.sent_us = DecodeStamp(content.substr(2));
+  opened.sender = content.substr(kHeaderBytes, sender_bytes);
+  opened.payload = content.substr(kHeaderBytes + sender_bytes);
+  return CheckReplay(std::move(opened), now_us);
+}
+
+Result<OpenedDatagram> MessageAuthenticator::CheckReplay(OpenedDatagram datagram,
+                                                         UnixMicros now_us) {
+  const std::chrono::microseconds difference(now_us - datagram.sent_us);
+  if (difference > m_options.max_age || -difference > m_options.max_age) {
+    return Refuse(ErrorCode::kTimeout, datagram.sender,
+                  "stamp differs by " + std::to_string(difference.count()) + " us");
+  }
+  ForgetOldSenders(now_us);
+  const auto [last, is_first] = m_last_received_us.try_emplace(datagram.sender, datagram.sent_us);
+  if (!is_first && datagram.sent_us <= last->second) {
+    return Refuse(ErrorCode::kConflict, datagram.sender, "repeated or overtaken");
+  }
+  last->second = datagram.sent_us;
+  datagram.age = std::max(difference, std::chrono::microseconds(0));
+  return datagram;
+}
+
+void MessageAuthenticator::ForgetOldSenders(UnixMicros now_us) {
+  if (m_last_received_us.size() < m_forget_at_size) {
+    return;
+  }
+  const auto oldest = std::chrono::microseconds(now_us) - kForgetAfterAges * m_options.max_age;
+  std::erase_if(m_last_received_us,
+                [&](const auto& item) { return std::chrono::microseconds(item.second) < oldest; });
+  // Doubling keeps the cost per datagram constant on average.
+  m_forget_at_size = std::max(kMinForgetSize, 2 * m_last_received_us.size());
+}
+
+}  // namespace qh::auth
