--- a/libs/idempotency/include/quetzalhinge/idempotency/key_table.h
+++ b/libs/idempotency/include/quetzalhinge/idempotency/key_table.h
@@ -63,7 +63,7 @@
  * Guarantees that each key is started at most once, unless the start was released as not run. Time
  * never goes back inside the table: `now_us` below an earlier one counts as the earlier one, so
  * that a key which expired cannot become startable when the wall clock is set back. After retention
- * the answer is "unknown", never "not run". An entry takes about 130 bytes besides its response.
+ * the answer is "unknown", never "not run". An entry takes about 120 bytes besides its response.
  */
 class KeyTable {
  public:
