--- /dev/null
+++ b/libs/routing/src/route.cc
@@ -0,0 +1,1 @@
+#include "quetzalhinge/routing/route.h"
--- /dev/null
+++ b/libs/routing/src/route_classifier.cc
@@ -0,0 +1,1 @@
+#include "quetzalhinge/routing/route_classifier.h"
--- /dev/null
+++ b/libs/routing/src/worker_selector.cc
@@ -0,0 +1,1 @@
+#include "quetzalhinge/routing/worker_selector.h"
--- /dev/null
+++ b/libs/routing/src/worker_subset.cc
@@ -0,0 +1,1 @@
+#include "quetzalhinge/routing/worker_subset.h"
--- /dev/null
+++ b/libs/routing/src/worker_table.cc
@@ -0,0 +1,1 @@
+#include "quetzalhinge/routing/worker_table.h"
