--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -49,13 +49,18 @@
     const h2o_socket_t* socket = nullptr;
   };
 
+  /** Holds timers of the loop, so it is freed only after libuv has closed them. */
+  struct H2oState {
+    h2o_globalconf_t config{};
+    h2o_context_t context{};
+  };
+
   class Exchange;
 
   net::EventLoop& loop;
   HttpServerOptions options;
   Handler handler;
-  h2o_globalconf_t config{};
-  h2o_context_t context{};
+  std::unique_ptr<H2oState> h2o = std::make_unique<H2oState>();
   h2o_accept_ctx_t accept_context{};
   /** Freed by libuv's close callback. */
   uv_tcp_t* listener = nullptr;
@@ -68,6 +73,7 @@
 
   Impl(net::EventLoop& event_loop, HttpServerOptions server_options, Handler request_handler)
       : loop(event_loop), options(std::move(server_options)), handler(std::move(request_handler)) {
+    h2o_globalconf_t& config = h2o->config;
     h2o_config_init(&config);
     config.server_name = h2o_iovec_init(H2O_STRLIT("quetzalhinge"));
     config.max_request_entity_size = options.max_body_bytes;
@@ -80,10 +86,19 @@
         reinterpret_cast<RequestHandler*>(h2o_create_handler(path, sizeof(RequestHandler)));
     request_entry->super.on_req = OnRequest;
     request_entry->server = this;
-    h2o_context_init(&context, loop.Handle(), &config);
-    accept_context.ctx = &context;
+    h2o_context_init(&h2o->context, loop.Handle(), &config);
+    accept_context.ctx = &h2o->context;
     accept_context.hosts = config.hosts;
   }
+  ~Impl() {
+    h2o_context_dispose(&h2o->context);
+    // The timers are closed at the end of a round of the loop; the second task runs after that.
+    loop.Post([&event_loop = loop, state = std::shared_ptr<H2oState>(std::move(h2o))] {
+      event_loop.Post([state] { h2o_config_dispose(&state->config); });
+    });
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
 
   static int OnRequest(h2o_handler_t* self, h2o_req_t* request);
 
@@ -140,9 +155,9 @@
         m_ambiguous(ambiguous) {
     ++m_server->in_progress;
     // The pool of the request frees this link when h2o disposes the request.
-    m_link = static_cast<Exchange**>(
-        h2o_mem_alloc_shared(&request->pool, sizeof(Exchange*), OnRequestDisposed));
-    *m_link = this;
+    m_link =
+        static_cast<Link*>(h2o_mem_alloc_shared(&request->pool, sizeof(Link), OnRequestDisposed));
+    m_link->exchange = this;
   }
 
   ~Exchange() override {
@@ -150,7 +165,7 @@
       Respond(HttpResponse{500, {}, "", true});
     }
     if (m_link != nullptr) {
-      *m_link = nullptr;
+      m_link->exchange = nullptr;
     }
   }
 
@@ -216,8 +231,13 @@
     return entry != m_server->connections.end() ? DescriptorOf(*entry->second) : -1;
   }
 
+  /** Lives in the pool of the h2o request. */
+  struct Link {
+    Exchange* exchange;
+  };
+
   static void OnRequestDisposed(void* data) {
-    Exchange* exchange = *static_cast<Exchange**>(data);
+    Exchange* exchange = static_cast<Link*>(data)->exchange;
     if (exchange != nullptr) {
       exchange->m_h2o_request = nullptr;
       exchange->m_link = nullptr;
@@ -226,7 +246,7 @@
 
   std::shared_ptr<Impl> m_server;
   h2o_req_t* m_h2o_request;
-  Exchange** m_link = nullptr;
+  Link* m_link = nullptr;
   HttpRequest m_request;
   bool m_ambiguous;
   bool m_answered = false;
--- a/tools/qh-standin-platform/src/main.cc
+++ b/tools/qh-standin-platform/src/main.cc
@@ -3,10 +3,9 @@
 #include "quetzalhinge/standin/program.h"
 #include "quetzalhinge/standin/standin_platform.h"
 
+namespace qh {
 namespace {
 
-using namespace qh;
-
 constexpr const char* kProgram = "qh-standin-platform";
 
 standin::StandinPlatformOptions ReadOptions(settings::SettingsReader& reader) {
@@ -19,9 +18,7 @@
   return options;
 }
 
-}  // namespace
-
-int main(int argc, const char** argv) {
+int Run(int argc, const char** argv) {
   const settings::CommandLine command_line = settings::ParseCommandLineOrExit(
       {kProgram,
        "Stands in for the platform's table service, object store and VM list. Settings: "
@@ -45,3 +42,8 @@
   logging::LogChange("platform", "listen", {{"address", ToString(platform.LocalEndpoint())}});
   return standin::RunUntilStopSignal(loop, "platform");
 }
+
+}  // namespace
+}  // namespace qh
+
+int main(int argc, const char** argv) { return qh::Run(argc, argv); }
--- a/tools/qh-standin-worker/src/main.cc
+++ b/tools/qh-standin-worker/src/main.cc
@@ -3,9 +3,9 @@
 #include "quetzalhinge/standin/program.h"
 #include "quetzalhinge/standin/standin_worker_group.h"
 
+namespace qh {
 namespace {
 
-using namespace qh;
 using standin::StandinWorkerOptions;
 
 constexpr const char* kProgram = "qh-standin-worker";
@@ -63,9 +63,7 @@
   return options;
 }
 
-}  // namespace
-
-int main(int argc, const char** argv) {
+int Run(int argc, const char** argv) {
   const settings::CommandLine command_line = settings::ParseCommandLineOrExit(
       {kProgram,
        "Stands in for the workers of backend servers. Settings: [process] control (IP:PORT), "
@@ -93,3 +91,8 @@
                       {"workers", std::to_string(options.workers.size())}});
   return standin::RunUntilStopSignal(loop, "workers");
 }
+
+}  // namespace
+}  // namespace qh
+
+int main(int argc, const char** argv) { return qh::Run(argc, argv); }
