--- a/apps/qh-entry/src/call_error.cc
+++ b/apps/qh-entry/src/call_error.cc
@@ -53,9 +53,7 @@
     {CallErrorCode::kKeyHolderUnreachable, "key_holder_unreachable", 504, Outcome::kUnknown},
 }};
 
-const CodeRow& RowOf(CallErrorCode code) noexcept {
-  return kCodes[static_cast<std::size_t>(code)];
-}
+const CodeRow& RowOf(CallErrorCode code) noexcept { return kCodes[static_cast<std::size_t>(code)]; }
 
 }  // namespace
 
--- a/apps/qh-entry/src/call_request.cc
+++ b/apps/qh-entry/src/call_request.cc
@@ -34,9 +34,8 @@
 std::optional<CallError> CheckHead(const http::HttpExchange& exchange) {
   const http::HttpRequest& request = exchange.Request();
   if (exchange.HasAmbiguousFraming()) {
-    return CallError{CallErrorCode::kAmbiguousFraming,
-                     "the length of the body can be read in two ways",
-                     {}};
+    return CallError{
+        CallErrorCode::kAmbiguousFraming, "the length of the body can be read in two ways", {}};
   }
   if (HeaderBytes(request.headers) > kMaxHeaderBytes) {
     return CallError{CallErrorCode::kHeadersTooLarge, "header fields exceed 16384 bytes", {}};
--- a/apps/qh-entry/src/call_service.cc
+++ b/apps/qh-entry/src/call_service.cc
@@ -86,8 +86,7 @@
     Refuse(exchange, {CallErrorCode::kMissingCustomer, "the parameter customer is required", {}});
     return;
   }
-  const std::shared_ptr<const contract::Contract> contract =
-      m_context.book.Find(query.customer);
+  const std::shared_ptr<const contract::Contract> contract = m_context.book.Find(query.customer);
   if (contract == nullptr) {
     const bool known_state = m_context.book.IsConfirmed(m_context.loop.Now());
     Refuse(exchange, {known_state ? CallErrorCode::kUnknownCustomer : CallErrorCode::kNotReady,
@@ -191,8 +190,8 @@
   }
 }
 
-void CallService::RefuseQueued(const limits::QueuedRequest& request,
-                               limits::QueueDecision decision, Duration retry_after) {
+void CallService::RefuseQueued(const limits::QueuedRequest& request, limits::QueueDecision decision,
+                               Duration retry_after) {
   if (const std::shared_ptr<CallTask> task = TakeWaiting(request.id)) {
     const bool full = decision == limits::QueueDecision::kFull;
     task->RefuseFromQueue(
--- a/apps/qh-entry/src/call_task.cc
+++ b/apps/qh-entry/src/call_task.cc
@@ -49,8 +49,8 @@
 http::HttpHeaders HeadersForCaller(const http::HttpHeaders& headers) {
   http::HttpHeaders kept;
   for (http::HttpHeader& header : http::WithoutHopByHop(headers)) {
-    const bool own = header.name.starts_with("x-qh-") || header.name == "server" ||
-                     header.name == "date";
+    const bool own =
+        header.name.starts_with("x-qh-") || header.name == "server" || header.name == "date";
     if (!own) {
       kept.push_back(std::move(header));
     }
@@ -120,11 +120,11 @@
   }
   const contract::ServiceTerms* terms = m_contract->FindService(m_call.service);
   if (terms == nullptr) {
-    return CallError{
-        CallErrorCode::kUnknownService, "the contract does not have this service", {}};
+    return CallError{CallErrorCode::kUnknownService, "the contract does not have this service", {}};
   }
   if (m_call.body.size() > static_cast<std::size_t>(m_contract->limits.max_body_bytes)) {
-    return CallError{CallErrorCode::kBodyTooLarge, "the body is longer than the contract allows", {}};
+    return CallError{
+        CallErrorCode::kBodyTooLarge, "the body is longer than the contract allows", {}};
   }
   m_deadline = retries::DeadlineOf(m_started, terms->deadline, m_call.time_left);
   m_idempotent = m_contract->IsIdempotent(m_call.service, m_call.method, m_call.target);
@@ -200,10 +200,10 @@
   attempt.profile = m_profile;
   attempt.max_response_bytes = static_cast<std::size_t>(m_contract->limits.max_response_bytes);
   m_context.events.Add("attempt_started", m_request_id, m_call.customer, worker, m_call.service);
-  m_context.workers.StartAttempt(
-      std::move(attempt), [self = shared_from_this(), worker](AttemptResult result) {
-        self->OnAttemptEnd(worker, std::move(result));
-      });
+  m_context.workers.StartAttempt(std::move(attempt),
+                                 [self = shared_from_this(), worker](AttemptResult result) {
+                                   self->OnAttemptEnd(worker, std::move(result));
+                                 });
 }
 
 http::HttpRequest CallTask::MakeWorkerRequest() const {
@@ -227,8 +227,8 @@
   const bool second_possible = m_idempotent && !m_call.no_retry && m_attempts < 2 &&
                                customer != nullptr &&
                                customer->BudgetOf(m_call.service).TokensLeft() > 0;
-  Duration limit = retries::AttemptLimit(m_deadline, m_context.loop.Now(), m_profile.median,
-                                         second_possible);
+  Duration limit =
+      retries::AttemptLimit(m_deadline, m_context.loop.Now(), m_profile.median, second_possible);
   if (second_possible) {
     limit = std::min<Duration>(limit, m_context.settings.silent_after);
   }
@@ -262,10 +262,10 @@
 void CallTask::RetryOrFail(const AttemptResult& result) {
   CustomerState* customer = m_context.customers.Find(m_call.customer);
   if (customer != nullptr && !CheckQuarantine().has_value()) {
-    const retries::FailedAttempt failed{StageOf(result.end), m_idempotent,        m_call.no_retry,
-                                        m_attempts,          m_deadline, m_profile.median};
-    const retries::RetryDecision decision = kRetryPolicy.Decide(
-        failed, m_context.loop.Now(), customer->BudgetOf(m_call.service));
+    const retries::FailedAttempt failed{StageOf(result.end), m_idempotent, m_call.no_retry,
+                                        m_attempts,          m_deadline,   m_profile.median};
+    const retries::RetryDecision decision =
+        kRetryPolicy.Decide(failed, m_context.loop.Now(), customer->BudgetOf(m_call.service));
     m_context.metrics
         .CounterOf("qh_retry_decisions_total",
                    "decision=\"" + std::string(ToString(decision)) + "\"")
@@ -297,7 +297,9 @@
 
 void CallTask::RefuseFromQueue(const CallError& error) {
   if (m_may_have_run) {
-    Fail({CallErrorCode::kDeadlineExceeded, "an earlier attempt may have run; " + error.message, {}});
+    Fail({CallErrorCode::kDeadlineExceeded,
+          "an earlier attempt may have run; " + error.message,
+          {}});
     return;
   }
   Fail(error);
@@ -354,8 +356,8 @@
   }
   const Duration total = m_context.loop.Now() - m_started;
   m_context.metrics
-      .CounterOf("qh_calls_total", "outcome=\"" + std::string(ToString(outcome)) + "\",code=\"" +
-                                       code + "\"")
+      .CounterOf("qh_calls_total",
+                 "outcome=\"" + std::string(ToString(outcome)) + "\",code=\"" + code + "\"")
       .Add();
   m_context.metrics.HistogramOf("qh_call_seconds").Record(duration_cast<microseconds>(total));
   m_context.metrics.HistogramOf("qh_call_added_seconds")
--- a/apps/qh-entry/src/control_link.cc
+++ b/apps/qh-entry/src/control_link.cc
@@ -1,5 +1,7 @@
 #include "control_link.h"
 
+#include <kj/debug.h>
+
 #include <utility>
 
 #include "processes.capnp.h"
@@ -117,28 +119,29 @@
       }
     });
     auto gate = client->Bootstrap().castAs<ControlGate>();
-    kj_loop.Detach(gate.challengeRequest()
-                       .send()
-                       .then([this, gate](capnp::Response<ControlGate::ChallengeResults>&& answer) mutable {
-                         return Open(gate, answer.getNonce());
-                       })
-                       .then([weak = weak_from_this(), number] {
-                         if (const std::shared_ptr<Impl> impl = weak.lock()) {
-                           impl->OnAttached(number);
-                         }
-                       })
-                       .catch_([weak = weak_from_this(), number](kj::Exception&&) {
-                         if (const std::shared_ptr<Impl> impl = weak.lock()) {
-                           impl->OnLost(number);
-                         }
-                       }));
+    kj_loop.Detach(
+        gate.challengeRequest()
+            .send()
+            .then([this, gate](capnp::Response<ControlGate::ChallengeResults>&& answer) mutable {
+              return Open(gate, answer.getNonce());
+            })
+            .then([weak = weak_from_this(), number] {
+              if (const std::shared_ptr<Impl> impl = weak.lock()) {
+                impl->OnAttached(number);
+              }
+            })
+            .catch_([weak = weak_from_this(), number](kj::Exception&&) {
+              if (const std::shared_ptr<Impl> impl = weak.lock()) {
+                impl->OnLost(number);
+              }
+            }));
   }
 
   kj::Promise<void> Open(ControlGate::Client gate, capnp::Data::Reader nonce_data) {
     const auto nonce = nonce_data.asChars();
-    const std::string code = rpc::MakeSessionCode(settings.deployment_key,
-                                                  std::string_view(nonce.begin(), nonce.size()),
-                                                  settings.name, kEntryControlService);
+    const std::string code =
+        rpc::MakeSessionCode(settings.deployment_key, std::string_view(nonce.begin(), nonce.size()),
+                             settings.name, kEntryControlService);
     auto open = gate.openEntryControlRequest();
     open.setCaller(settings.name);
     open.setCode(kj::StringPtr(code.c_str(), code.size()).asBytes());
@@ -213,9 +216,9 @@
   auto borrow = m_impl->control.borrowRequest();
   borrow.setCustomer(request.customer);
   WriteBorrowRequest(request.request, borrow.initRequest());
-  m_impl->kj_loop.Detach(borrow.send().then(
-      [listener = m_impl->listener,
-       customer = request.customer](capnp::Response<EntryControl::BorrowResults>&& answer) {
+  m_impl->kj_loop.Detach(
+      borrow.send().then([listener = m_impl->listener, customer = request.customer](
+                             capnp::Response<EntryControl::BorrowResults>&& answer) {
         if (*listener != nullptr && answer.getGranted()) {
           (*listener)->OnGrant(customer, ReadLoanGrant(answer.getGrant()));
         }
--- a/apps/qh-entry/src/crash_notices.cc
+++ b/apps/qh-entry/src/crash_notices.cc
@@ -29,8 +29,12 @@
 
 Notice ToNotice(const quarantine::SuspectNotice& suspect, UnixMicros now_us) {
   const UnixMicros stamp = now_us - duration_cast<microseconds>(suspect.age).count();
-  return {NoticeKind::kSuspectFingerprint, ToHex(suspect.fingerprint), suspect.worker,
-          suspect.alone ? 1U : 0U,         stamp,                      kSuspectLifetime};
+  return {NoticeKind::kSuspectFingerprint,
+          ToHex(suspect.fingerprint),
+          suspect.worker,
+          suspect.alone ? 1U : 0U,
+          stamp,
+          kSuspectLifetime};
 }
 
 Notice ToNotice(const quarantine::QuarantineNotice& quarantined, UnixMicros now_us) {
--- a/apps/qh-entry/src/customer_table.cc
+++ b/apps/qh-entry/src/customer_table.cc
@@ -52,8 +52,7 @@
 
 CustomerState* CustomerTable::Find(const std::string& customer) {
   const auto found = m_customers.find(customer);
-  return found == m_customers.end() || found->second.contract == nullptr ? nullptr
-                                                                          : &found->second;
+  return found == m_customers.end() || found->second.contract == nullptr ? nullptr : &found->second;
 }
 
 std::vector<CustomerBorrowRequest> CustomerTable::PlanRequests(TimePoint now,
--- a/apps/qh-entry/src/entry_process.cc
+++ b/apps/qh-entry/src/entry_process.cc
@@ -78,7 +78,7 @@
         started(event_loop.Now()),
         events(vm_settings.name, "qh-entry", vm_settings.timeline_capacity),
         kj_loop(event_loop),
-        authenticator(vm_settings.deployment_key),
+        authenticator(TakeValue(auth::MessageAuthenticator::Create({vm_settings.deployment_key}))),
         book(BookOptions(vm_settings)),
         customers(vm_settings, started),
         workers(event_loop, vm_settings, metrics, events, generator),
@@ -170,8 +170,7 @@
   void UpdateReadiness() {
     if (calls.State() == ServiceState::kNotReady && IsReady()) {
       calls.SetState(ServiceState::kServing);
-      logging::LogChange("entry", "serve",
-                         {{"revision", std::to_string(book.CurrentRevision())}});
+      logging::LogChange("entry", "serve", {{"revision", std::to_string(book.CurrentRevision())}});
       events.Add("serving", "", "", "", "");
     }
   }
@@ -221,8 +220,7 @@
     }
     drain_started = loop.Now();
     calls.SetState(ServiceState::kDraining);
-    logging::LogChange("entry", "drain",
-                       {{"in_progress", std::to_string(calls.InProgress())}});
+    logging::LogChange("entry", "drain", {{"in_progress", std::to_string(calls.InProgress())}});
     events.Add("drain_started", "", "", "", "");
     Report();
     drain_timer.StartRepeating(kDrainPollInterval);
@@ -230,8 +228,7 @@
 
   void ContinueDrain() {
     const Duration elapsed = loop.Now() - drain_started;
-    if (calls.State() == ServiceState::kDraining &&
-        elapsed >= settings.address_ttl + kDrainExtra) {
+    if (calls.State() == ServiceState::kDraining && elapsed >= settings.address_ttl + kDrainExtra) {
       calls.SetState(ServiceState::kStopped);
       caller_server.StopAccepting();
     }
@@ -271,9 +268,9 @@
   m_impl->control.Start();
   m_impl->report_timer.StartRepeating(kReportInterval);
   m_impl->borrow_timer.StartRepeating(kBorrowInterval);
-  logging::LogChange("entry", "start",
-                     {{"vm", m_impl->settings.name},
-                      {"callers", ToString(m_impl->settings.addresses.callers)}});
+  logging::LogChange(
+      "entry", "start",
+      {{"vm", m_impl->settings.name}, {"callers", ToString(m_impl->settings.addresses.callers)}});
   return Success{};
 }
 
--- a/apps/qh-entry/src/entry_process.h
+++ b/apps/qh-entry/src/entry_process.h
@@ -20,7 +20,8 @@
   /** Starts to listen and to attach to qh-control. */
   Result<Success> Start();
 
-  /** Starts a graceful shutdown, or ends it at once if one is going on. Stops the loop at its end. */
+  /** Starts a graceful shutdown, or ends it at once if one is going on. Stops the loop at its end.
+   */
   void OnStopSignal(int count);
 
   /** Returns how the process ended; valid after the loop has stopped. */
--- a/apps/qh-entry/src/key_service.cc
+++ b/apps/qh-entry/src/key_service.cc
@@ -12,12 +12,15 @@
 using idempotency::KeyRefusal;
 
 /** The call errors that the key module names, by their stable codes. */
-constexpr std::array<CallErrorCode, 9> kKeyErrorCodes{
-    CallErrorCode::kNotReady,
-    CallErrorCode::kKeyMalformed,  CallErrorCode::kKeyReused,
-    CallErrorCode::kKeyTableFull,  CallErrorCode::kKeyRefused,
-    CallErrorCode::kKeyLost,       CallErrorCode::kOutcomeUnknown,
-    CallErrorCode::kKeyInProgress, CallErrorCode::kKeyHolderUnreachable};
+constexpr std::array<CallErrorCode, 9> kKeyErrorCodes{CallErrorCode::kNotReady,
+                                                      CallErrorCode::kKeyMalformed,
+                                                      CallErrorCode::kKeyReused,
+                                                      CallErrorCode::kKeyTableFull,
+                                                      CallErrorCode::kKeyRefused,
+                                                      CallErrorCode::kKeyLost,
+                                                      CallErrorCode::kOutcomeUnknown,
+                                                      CallErrorCode::kKeyInProgress,
+                                                      CallErrorCode::kKeyHolderUnreachable};
 
 CallError ToCallError(KeyRefusal refusal) {
   const std::string_view name = idempotency::AnswerTo(refusal).code;
@@ -54,8 +57,7 @@
 }  // namespace
 
 KeyService::KeyService(const vm_settings::EntryVmSettings& settings, std::uint64_t incarnation,
-                       const auth::MessageAuthenticator& authenticator,
-                       RandomGenerator& generator)
+                       const auth::MessageAuthenticator& authenticator, RandomGenerator& generator)
     : m_self(MakeKeyHolder(settings.name, incarnation)),
       m_authority(authenticator),
       m_table(m_self, TableOptions(settings), generator) {}
@@ -93,17 +95,16 @@
                        {}});
     return;
   }
-  m_peers->ResolveKey(
-      *holder, call.key, call.fingerprint,
-      [callback](std::optional<idempotency::ResolveResult> result) {
-        if (result.has_value()) {
-          callback(ToDecision(*std::move(result)));
-        } else {
-          callback(CallError{CallErrorCode::kKeyHolderUnreachable,
-                             "the entry VM that holds the key did not answer",
-                             {}});
-        }
-      });
+  m_peers->ResolveKey(*holder, call.key, call.fingerprint,
+                      [callback](std::optional<idempotency::ResolveResult> result) {
+                        if (result.has_value()) {
+                          callback(ToDecision(*std::move(result)));
+                        } else {
+                          callback(CallError{CallErrorCode::kKeyHolderUnreachable,
+                                             "the entry VM that holds the key did not answer",
+                                             {}});
+                        }
+                      });
 }
 
 idempotency::ResolveResult KeyService::ResolveForPeer(const std::string& key,
--- a/apps/qh-entry/src/main.cc
+++ b/apps/qh-entry/src/main.cc
@@ -30,14 +30,14 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const auto command_line = qh::settings::ParseCommandLineOrExit(
-      kProgram, argc, const_cast<const char**>(argv));
+  const auto command_line =
+      qh::settings::ParseCommandLineOrExit(kProgram, argc, const_cast<const char**>(argv));
   if (command_line.settings_file.empty() || !command_line.arguments.empty()) {
     std::fprintf(stderr, "qh-entry: --settings FILE is required, and no other argument\n");
     return static_cast<int>(ExitCode::kWrongCommandLine);
   }
-  const auto result = qh::vm_settings::ParseEntryVmSettings(
-      qh::settings::ReadIniFile(command_line.settings_file));
+  const auto result =
+      qh::vm_settings::ParseEntryVmSettings(qh::settings::ReadIniFile(command_line.settings_file));
   for (const auto& problem : result.problems) {
     std::fprintf(stderr, "%s\n", ToString(problem).c_str());
   }
--- a/apps/qh-entry/src/peer_link.cc
+++ b/apps/qh-entry/src/peer_link.cc
@@ -1,5 +1,7 @@
 #include "peer_link.h"
 
+#include <kj/debug.h>
+
 #include <array>
 #include <utility>
 
@@ -147,8 +149,8 @@
         -> rpc::wire::EntryPeer::Client {
           const auto nonce = answer.getNonce().asChars();
           const std::string code = rpc::MakeSessionCode(
-              settings.deployment_key, std::string_view(nonce.begin(), nonce.size()),
-              settings.name, kEntryPeerService);
+              settings.deployment_key, std::string_view(nonce.begin(), nonce.size()), settings.name,
+              kEntryPeerService);
           auto request = gate.openEntryPeerRequest();
           request.setCaller(settings.name);
           request.setCode(kj::StringPtr(code.c_str(), code.size()).asBytes());
@@ -174,8 +176,7 @@
   }
 };
 
-ResolveResult ReadAnswer(
-    const capnp::Response<rpc::wire::EntryPeer::ResolveKeyResults>& answer) {
+ResolveResult ReadAnswer(const capnp::Response<rpc::wire::EntryPeer::ResolveKeyResults>& answer) {
   if (answer.getState() == rpc::wire::KeyState::DONE) {
     return KeyReplay{std::make_shared<const idempotency::StoredResponse>(
         ReadStoredResponse(answer.getResponse()))};
@@ -197,12 +198,13 @@
                           ResolveCallback callback) {
   auto pending = std::make_shared<PendingResolve>();
   pending->callback = std::move(callback);
-  pending->timer = std::make_unique<net::Timer>(
-      m_impl->kj_loop.Loop(), [impl = m_impl, pending, vm = holder.name] {
-        // A connection that has gone silent would cost every later question a timeout.
-        impl->connections.erase(vm);
-        pending->End(std::nullopt);
-      });
+  pending->timer = std::make_unique<net::Timer>(m_impl->kj_loop.Loop(),
+                                                [impl = m_impl, pending, vm = holder.name] {
+                                                  // A connection that has gone silent would cost
+                                                  // every later question a timeout.
+                                                  impl->connections.erase(vm);
+                                                  pending->End(std::nullopt);
+                                                });
   pending->timer->StartOnce(kResolveTimeout);
   auto request = m_impl->ServiceOf(holder).resolveKeyRequest();
   request.setKey(key);
--- a/apps/qh-entry/src/wire_forms.cc
+++ b/apps/qh-entry/src/wire_forms.cc
@@ -87,9 +87,10 @@
   builder.setBorrowerSlot(request.borrower);
   builder.setLenderSlot(request.lender);
   builder.setFraction(request.fraction);
-  // Rounded up: a lender that counts too long loses capacity, one that counts too short lends twice.
-  builder.setLifetimeMillis(static_cast<std::uint32_t>(
-      std::chrono::ceil<milliseconds>(request.lifetime).count()));
+  // Rounded up: a lender that counts too long loses capacity, one that counts too short lends
+  // twice.
+  builder.setLifetimeMillis(
+      static_cast<std::uint32_t>(std::chrono::ceil<milliseconds>(request.lifetime).count()));
 }
 
 limits::LoanGrant ReadLoanGrant(rpc::wire::LoanGrant::Reader reader) {
--- a/apps/qh-entry/src/worker_pool.cc
+++ b/apps/qh-entry/src/worker_pool.cc
@@ -158,8 +158,8 @@
       return;
     }
     const WorkerState state = worker.leaving ? WorkerState::kLeaving : WorkerState::kLive;
-    const bool changed = table.Upsert(
-        worker.info, {state, SignSource::kVmList, UnixNow(), ""}, now);
+    const bool changed =
+        table.Upsert(worker.info, {state, SignSource::kVmList, UnixNow(), ""}, now);
     services.insert(worker.info.service);
     if (changed) {
       ReportStateChange(worker.info.id, SignSource::kVmList);
@@ -167,8 +167,8 @@
   }
 
   WorkerConnections& ConnectionsOf(const routing::WorkerInfo& info) {
-    WorkerConnections& connection = connections.try_emplace(info.id, MakeConnections(info))
-                                        .first->second;
+    WorkerConnections& connection =
+        connections.try_emplace(info.id, MakeConnections(info)).first->second;
     // A client that is destroyed drops its calls, so one in use is kept until they have ended.
     if (connection.client->Peer() != info.endpoint && connection.in_progress.empty()) {
       connection.client = MakeClient(info.endpoint);
@@ -208,8 +208,8 @@
                         {"state", state},
                         {"source", source_name}});
     events.Add("worker_state", "", "", id, std::string(state) + " by " + source_name);
-    const bool spread = source == SignSource::kResponseHeader ||
-                        source == SignSource::kHealthEndpoint;
+    const bool spread =
+        source == SignSource::kResponseHeader || source == SignSource::kHealthEndpoint;
     if (spread && worker->state == WorkerState::kLeaving) {
       Publish(membership::NoticeKind::kWorkerLeaving, id, worker->state_stamp);
     }
@@ -226,8 +226,7 @@
 
   void ApplyNotice(const membership::Notice& notice) {
     if (notice.kind == membership::NoticeKind::kWorkerLeaving) {
-      ApplySign(notice.subject,
-                {WorkerState::kLeaving, SignSource::kNotice, notice.stamp_us, ""});
+      ApplySign(notice.subject, {WorkerState::kLeaving, SignSource::kNotice, notice.stamp_us, ""});
       return;
     }
     for (const membership::Notice& follow_up :
@@ -270,16 +269,15 @@
     const http::HttpRequest request = std::move(attempt.request);
     const milliseconds timeout = attempt.timeout;
     http::HttpClient& client = *connection.client;
-    client.Start(request, timeout,
-                 [self = weak_from_this(), number, started, own_in_progress,
-                  attempt = std::move(attempt),
-                  callback = std::move(callback)](http::HttpCallResult result) {
-                   if (const std::shared_ptr<Impl> impl = self.lock()) {
-                     callback(impl->Finish(number, started, own_in_progress, attempt,
-                                           std::move(result)));
-                     impl->on_capacity(attempt.route.service);
-                   }
-                 });
+    client.Start(
+        request, timeout,
+        [self = weak_from_this(), number, started, own_in_progress, attempt = std::move(attempt),
+         callback = std::move(callback)](http::HttpCallResult result) {
+          if (const std::shared_ptr<Impl> impl = self.lock()) {
+            callback(impl->Finish(number, started, own_in_progress, attempt, std::move(result)));
+            impl->on_capacity(attempt.route.service);
+          }
+        });
   }
 
   AttemptResult Finish(std::uint64_t number, TimePoint started, std::uint32_t own_in_progress,
--- /dev/null
+++ b/apps/qh-entry/test/fake_exchange.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <optional>
+#include <utility>
+
+#include "quetzalhinge/http/http_server.h"
+
+namespace qh::entry {
+
+/** An exchange without a connection that keeps its response. */
+class FakeExchange : public http::HttpExchange {
+ public:
+  explicit FakeExchange(http::HttpRequest request, bool ambiguous = false)
+      : m_request(std::move(request)), m_ambiguous(ambiguous) {}
+
+  const http::HttpRequest& Request() const noexcept override { return m_request; }
+  bool HasAmbiguousFraming() const noexcept override { return m_ambiguous; }
+  bool IsConnected() const noexcept override { return true; }
+  void Respond(http::HttpResponse response) override { m_response = std::move(response); }
+
+  /** Returns the response, if one was sent. */
+  const std::optional<http::HttpResponse>& Response() const noexcept { return m_response; }
+
+ private:
+  http::HttpRequest m_request;
+  bool m_ambiguous;
+  std::optional<http::HttpResponse> m_response;
+};
+
+}  // namespace qh::entry
--- /dev/null
+++ b/apps/qh-entry/test/test_address_book.cc
@@ -0,0 +1,72 @@
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+
+#include "address_book.h"
+
+namespace qh::entry {
+namespace {
+
+std::vector<EntryVm> FifteenVms() {
+  std::vector<EntryVm> vms;
+  for (std::uint32_t slot = 0; slot < 15; ++slot) {
+    const std::string zone = "zone-" + std::to_string(slot % 3);
+    vms.push_back({"vm-" + std::to_string(slot),
+                   zone,
+                   slot,
+                   true,
+                   {"127.0.1." + std::to_string(slot + 1), 8000},
+                   {"127.0.1.1", 8005},
+                   slot + 1});
+  }
+  return vms;
+}
+
+TEST_CASE("An address answer names VMs in the order in which a caller should try them") {
+  const auto authenticator =
+      TakeValue(auth::MessageAuthenticator::Create({"a deployment key for tests"}));
+  const idempotency::RequestKeyAuthority authority(authenticator);
+  AddressBook book({"zone-0", 15, 12}, authority);
+  std::vector<EntryVm> vms = FifteenVms();
+  const UnixMicros now = 1'796'378'000'000'000;
+
+  SECTION("the preferred zone comes first") {
+    book.Update(vms);
+    const auto addresses = book.AddressesFor({"katalog", "semarang", ""}, now);
+    REQUIRE(addresses.size() == AddressBook::kMaxAddresses);
+    for (std::size_t i = 0; i < 5; ++i) {
+      CHECK(addresses[i].zone == "zone-0");
+    }
+    CHECK(book.AddressesFor({"katalog", "semarang", "zone-2"}, now).front().zone == "zone-2");
+  }
+  SECTION("a VM that takes no calls, or whose process is not known, is left out") {
+    for (EntryVm& vm : vms) {
+      vm.takes_calls = vm.slot == 3;
+    }
+    vms[4].takes_calls = true;
+    vms[4].entry_incarnation = 0;
+    book.Update(vms);
+    const auto addresses = book.AddressesFor({"katalog", "semarang", ""}, now);
+    REQUIRE(addresses.size() == 1);
+    CHECK(addresses.front().vm == "vm-3");
+  }
+  SECTION("customers spread over the VMs, so that one VM is not everybody's first choice") {
+    book.Update(vms);
+    std::set<std::string> first;
+    for (int i = 0; i < 100; ++i) {
+      first.insert(book.AddressesFor({"katalog", "c" + std::to_string(i), ""}, now).front().vm);
+    }
+    CHECK(first.size() == 5);
+  }
+  SECTION("the key prefix names the VM at the address and is accepted as a key") {
+    book.Update(vms);
+    const auto address = book.AddressesFor({"pesanan", "semarang", ""}, now).front();
+    const auto key = authority.Accept(address.key_prefix + ".order-1");
+    REQUIRE(IsOk(key));
+    CHECK(ValueOf(key).holder.vm == address.vm);
+    CHECK_FALSE(IsOk(authority.Accept(address.key_prefix + "x.order-1")));
+  }
+}
+
+}  // namespace
+}  // namespace qh::entry
