Add worker table, subset, selectors and route classifier

Found by the tests: a worker that had failed once was never tried again, because its penalty never reaches zero and two otherwise equal costs were compared exactly. Costs now have a random factor of 5%.

Gone workers are remembered for 60 s: erasing them at once would let a late entry of the VM list add them again as live.

--- a/libs/routing/include/quetzalhinge/routing/route_classifier.h
+++ b/libs/routing/include/quetzalhinge/routing/route_classifier.h
@@ -19,6 +19,8 @@
   double short_below = 2.5;
   /** Half-life of samples: old ones lose half of their weight in each such time. */
   Duration half_life = std::chrono::seconds(30);
+  /** Half-life of the shares of short and long work time from which the reserve follows. */
+  Duration reserve_half_life = std::chrono::seconds(5);
   /** Most classified routes; the one used least recently is forgotten first. */
   int max_routes = 1024;
   /**
@@ -55,7 +57,7 @@
   RouteClassifier& operator=(const RouteClassifier&) = delete;
 
   /** Returns what is known about `route`. Does not add the route. */
-  RouteProfile ProfileOf(const Route& route, TimePoint now);
+  RouteProfile ProfileOf(const Route& route) const;
 
   /**
    * Counts the latency of a call that succeeded or timed out. Calls that failed or were shed must
@@ -69,7 +71,7 @@
    * within the bounds of the options. 0 while no short or no long work has been seen recently:
    * nothing is held back that nobody would use.
    */
-  double ReservedShare(std::string_view service, TimePoint now);
+  double ReservedShare(std::string_view service, TimePoint now) const;
 
   /** Returns how many routes are held, classified and unknown ones together. */
   int RouteCount() const noexcept;
--- a/libs/routing/include/quetzalhinge/routing/worker.h
+++ b/libs/routing/include/quetzalhinge/routing/worker.h
@@ -18,7 +18,7 @@
   kLive,
   /** Finishes the requests that it holds and receives no new work. */
   kLeaving,
-  /** No longer in the VM list; kept only while this VM has requests in progress there. */
+  /** No longer in the VM list; remembered for a while so that late signs do not add it again. */
   kGone,
 };
 
@@ -114,6 +114,8 @@
   UnixMicros state_stamp = 0;
   /** When this VM applied that sign, by its own monotonic clock. */
   TimePoint state_applied;
+  /** Whether the worker has been leaving or gone before; late signs of that leave may follow. */
+  bool has_left = false;
   /** Newest known run of the worker process; empty if no sign named one. */
   std::string incarnation;
   /** When the worker became live here (new or back); slow start counts from it. */
--- a/libs/routing/include/quetzalhinge/routing/worker_table.h
+++ b/libs/routing/include/quetzalhinge/routing/worker_table.h
@@ -22,6 +22,11 @@
    * new incarnation. The list lags, so an earlier "live" entry may predate the leave.
    */
   Duration list_return_delay = std::chrono::seconds(10);
+  /**
+   * How long a gone worker is remembered, so that a late sign does not add it again as live. Longer
+   * than the lag of the VM list.
+   */
+  Duration gone_retention = std::chrono::seconds(60);
   /** Time constant of the latency EWMA. */
   Duration latency_window = std::chrono::seconds(1);
   /** Time constant with which recent failures fade. */
@@ -41,8 +46,7 @@
 
 /**
  * The workers of each service as this VM sees them, with the rules by which signs change their
- * state. Pure: the caller passes the time. Pointers to workers stay valid until the worker is
- * erased: on a sign "gone", or on the end of the last own request at a worker that is gone.
+ * state. Pure: the caller passes the time. Pointers to workers stay valid until EraseGone().
  */
 class WorkerTable {
  public:
@@ -54,24 +58,34 @@
   /**
    * Adds a worker or updates its endpoint, zone and slots. State does not come from here, except
    * that a worker that is new to the table starts as `sign` says; for a known one `sign` counts as
-   * in Apply(). Only the VM list may add workers.
+   * in Apply(). Only the VM list may add workers. The service of a known worker cannot change: such
+   * a call has no effect until the worker has been erased.
    * @return whether the worker was added or its state changed
    */
   bool Upsert(const WorkerInfo& info, const WorkerSign& sign, TimePoint now);
 
   /**
    * Applies a sign about a known worker. Rules:
-   * - "leaving" takes effect from any source, unless it is older than the sign that made the
-   *   worker live or names an incarnation other than the newest.
+   * - "leaving" takes effect from any source. It is ignored as a late sign of an earlier leave only
+   *   if its stamp is not newer than the sign that made the worker live, and it names another
+   *   incarnation, or the worker has left before and the source is the list or a notice. (Stamps of
+   *   different clocks decide nothing else, so skew cannot hide a first leave.)
    * - "live" about a leaving worker takes effect only if it is newer by its stamp than the last
-   *   sign of the leave, and it either names another incarnation than the one that left or comes
+   *   sign of the leave, and it either names another incarnation than the one that left (both must
+   *   be known) or comes
    *   from the VM list at least list_return_delay after that sign (by stamp and by own clock).
-   * - "gone" counts only from the VM list. The worker is erased when no own request is in progress.
+   * - "gone" counts only from the VM list. A gone worker returns by the same rule as a leaving one.
    * @return whether the state changed; the caller then publishes a notice if the source is not one
    *     (nothing happens and false is returned for an unknown worker)
    */
   bool Apply(std::string_view id, const WorkerSign& sign, TimePoint now);
 
+  /**
+   * Erases workers that have been gone for gone_retention and have no own request in progress.
+   * Call it about once a second.
+   */
+  void EraseGone(TimePoint now);
+
   /** Returns the worker `id`, or nullptr. */
   const Worker* Find(std::string_view id) const noexcept;
 
@@ -80,7 +94,7 @@
 
   /**
    * Returns the live workers of `service` within this VM's subset, for WorkerSelector::Select().
-   * Valid until the next call of Upsert(), Apply() or Finished(). Empty for an unknown service.
+   * Valid until the next call of Upsert(), Apply() or EraseGone(). Empty for an unknown service.
    */
   std::span<const Worker* const> Candidates(std::string_view service) const noexcept;
 
--- /dev/null
+++ b/libs/routing/src/load_aware_selector.cc
@@ -0,0 +1,82 @@
+#include "load_aware_selector.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace qh::routing {
+namespace {
+
+/** Cost of one recent failure as a multiple of the cost without it. */
+constexpr double kFailurePenalty = 4.0;
+/** Cost of a worker in another availability zone as a multiple of the same one in the own zone. */
+constexpr double kOtherZoneFactor = 1.2;
+constexpr double kLeastSlowStartShare = 0.05;
+/** Half the range of random factors on costs, so that differences without meaning decide nothing. */
+constexpr double kCostJitter = 0.05;
+/** Slots of each worker that this VM uses for routes it cannot classify yet. */
+constexpr int kUnknownSlots = 1;
+
+double Faded(Duration age, Duration window) noexcept {
+  return std::exp(-std::chrono::duration<double>(age) / std::chrono::duration<double>(window));
+}
+
+/** Returns whether `worker` has a slot for the request's class. */
+bool HasSlotFor(const Worker& worker, const SelectionRequest& request) noexcept {
+  // Nothing is held back as long as the service is not known to have work of both classes.
+  if (request.work_class == WorkClass::kShort || request.reserved_share <= 0) {
+    return true;
+  }
+  if (request.work_class == WorkClass::kUnknown) {
+    return worker.InProgress(WorkClass::kUnknown) < kUnknownSlots;
+  }
+  const int reserved = static_cast<int>(std::ceil(request.reserved_share * worker.info.slots));
+  return worker.InProgress(WorkClass::kLong) < std::max(1, worker.info.slots - reserved);
+}
+
+}  // namespace
+
+const Worker* LoadAwareSelector::Select(std::span<const Worker* const> candidates,
+                                        const SelectionRequest& request, TimePoint now,
+                                        RandomGenerator& generator) {
+  auto eligible = EligibleWorkers(candidates, request);
+  std::erase_if(eligible, [&](const Worker* worker) { return !HasSlotFor(*worker, request); });
+  std::uniform_real_distribution<double> jitter(1.0 - kCostJitter, 1.0 + kCostJitter);
+  const Worker* best = nullptr;
+  double best_cost = 0;
+  for (int choice = 0; choice < m_options.choices && !eligible.empty(); ++choice) {
+    std::swap(eligible[RandomIndex(eligible.size(), generator)], eligible.back());
+    const double cost = CostOf(*eligible.back(), now) * jitter(generator);
+    if (best == nullptr || cost < best_cost) {
+      best = eligible.back();
+      best_cost = cost;
+    }
+    eligible.pop_back();
+  }
+  return best;
+}
+
+double LoadAwareSelector::CostOf(const Worker& worker, TimePoint now) const noexcept {
+  const double failures =
+      worker.failures * Faded(now - worker.failures_updated, m_options.failure_window);
+  const bool other_zone = !m_options.own_zone.empty() && worker.info.zone != m_options.own_zone;
+  return (1.0 + ExpectedQueue(worker, now)) * worker.latency_ratio.value_or(1.0) *
+         (1.0 + kFailurePenalty * failures) * (other_zone ? kOtherZoneFactor : 1.0) /
+         SlowStartShare(worker, now);
+}
+
+double LoadAwareSelector::ExpectedQueue(const Worker& worker, TimePoint now) const noexcept {
+  double queue = worker.InProgress();
+  if (worker.report) {
+    const int others = std::max(0, worker.report->in_progress - worker.own_at_report);
+    queue += others * Faded(now - worker.report->taken, m_options.report_fade);
+  }
+  return queue / worker.info.slots;
+}
+
+double LoadAwareSelector::SlowStartShare(const Worker& worker, TimePoint now) const noexcept {
+  const double share = std::chrono::duration<double>(now - worker.live_since) /
+                       std::chrono::duration<double>(m_options.slow_start);
+  return std::clamp(share, kLeastSlowStartShare, 1.0);
+}
+
+}  // namespace qh::routing
--- a/libs/routing/src/worker_table.cc
+++ b/libs/routing/src/worker_table.cc
@@ -1,1 +1,320 @@
 #include "quetzalhinge/routing/worker_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+
+#include "quetzalhinge/base/hash.h"
+
+namespace qh::routing {
+namespace {
+
+/** The workers of one service and those that this VM may select. */
+struct ServiceWorkers {
+  explicit ServiceWorkers(const SubsetOptions& options) : subset(options) {}
+
+  std::vector<Worker*> workers;
+  WorkerSubset subset;
+  std::vector<const Worker*> candidates;
+
+  /** Computes the subset and the candidates after a change of members or states. */
+  void Refresh() {
+    std::vector<std::string> live;
+    for (const Worker* worker : workers) {
+      if (worker->state == WorkerState::kLive) {
+        live.push_back(worker->info.id);
+      }
+    }
+    subset.Update(live);
+    candidates.clear();
+    for (const Worker* worker : workers) {
+      if (worker->state == WorkerState::kLive && subset.Contains(worker->info.id)) {
+        candidates.push_back(worker);
+      }
+    }
+  }
+};
+
+bool NamesOther(const Worker& worker, const WorkerSign& sign) noexcept {
+  return !sign.incarnation.empty() && !worker.incarnation.empty() &&
+         sign.incarnation != worker.incarnation;
+}
+
+bool IsDirect(SignSource source) noexcept {
+  return source == SignSource::kResponseHeader || source == SignSource::kHealthEndpoint;
+}
+
+bool LeaveCounts(const Worker& worker, const WorkerSign& sign) noexcept {
+  if (worker.state == WorkerState::kGone) {
+    return false;
+  }
+  if (NamesOther(worker, sign)) {
+    return sign.stamp > worker.state_stamp;
+  }
+  // A sign of the worker itself is about now. Stamps of different clocks are compared only where
+  // an old leave could be taken for a new one: after the worker came back.
+  return IsDirect(sign.source) || !worker.has_left || sign.stamp > worker.state_stamp;
+}
+
+bool ReturnCounts(const Worker& worker, const WorkerSign& sign, TimePoint now,
+                  Duration list_delay) noexcept {
+  if (sign.stamp <= worker.state_stamp) {
+    return false;
+  }
+  if (NamesOther(worker, sign)) {
+    return true;
+  }
+  const auto stamp_delay = std::chrono::microseconds(sign.stamp - worker.state_stamp);
+  return sign.source == SignSource::kVmList && stamp_delay >= list_delay &&
+         now - worker.state_applied >= list_delay;
+}
+
+/** Starts the worker's figures anew: those of an earlier run say nothing about this one. */
+void BecomeLive(Worker& worker, const WorkerSign& sign, TimePoint now) {
+  worker.state = WorkerState::kLive;
+  worker.state_stamp = sign.stamp;
+  worker.state_applied = now;
+  worker.live_since = now;
+  worker.incarnation = sign.incarnation.empty() ? worker.incarnation : sign.incarnation;
+  worker.report.reset();
+  worker.latency_ratio.reset();
+  worker.short_latency_us.reset();
+  worker.failures = 0;
+}
+
+void BecomeUnavailable(Worker& worker, const WorkerSign& sign, TimePoint now) {
+  worker.state = sign.state;
+  worker.state_stamp = std::max(worker.state_stamp, sign.stamp);
+  worker.state_applied = now;
+  worker.has_left = true;
+  if (!sign.incarnation.empty()) {
+    worker.incarnation = sign.incarnation;
+  }
+}
+
+bool ApplyLeave(Worker& worker, const WorkerSign& sign, TimePoint now) {
+  if (!LeaveCounts(worker, sign)) {
+    return false;
+  }
+  const bool changed = worker.state != WorkerState::kLeaving;
+  BecomeUnavailable(worker, sign, now);
+  return changed;
+}
+
+bool ApplyGone(Worker& worker, const WorkerSign& sign, TimePoint now) {
+  if (sign.source != SignSource::kVmList || worker.state == WorkerState::kGone) {
+    return false;
+  }
+  BecomeUnavailable(worker, sign, now);
+  return true;
+}
+
+bool ApplyLive(Worker& worker, const WorkerSign& sign, TimePoint now, Duration list_delay) {
+  if (worker.state == WorkerState::kLive) {
+    if (NamesOther(worker, sign) && sign.stamp > worker.state_stamp) {
+      BecomeLive(worker, sign, now);
+    } else if (worker.incarnation.empty()) {
+      worker.incarnation = sign.incarnation;
+    }
+    return false;
+  }
+  if (!ReturnCounts(worker, sign, now, list_delay)) {
+    return false;
+  }
+  BecomeLive(worker, sign, now);
+  return true;
+}
+
+double Faded(Duration age, Duration window) noexcept {
+  return std::exp(-std::chrono::duration<double>(age) / std::chrono::duration<double>(window));
+}
+
+/** Moves `average` towards `sample` by the weight of the time since the last sample. */
+void UpdateAverage(std::optional<double>& average, double sample, double weight) noexcept {
+  average = average ? *average + weight * (sample - *average) : sample;
+}
+
+bool CountsAsFailure(RequestOutcome outcome) noexcept {
+  return outcome == RequestOutcome::kFailed || outcome == RequestOutcome::kShed ||
+         outcome == RequestOutcome::kTimedOut;
+}
+
+bool CountsAsLatency(RequestOutcome outcome) noexcept {
+  return outcome == RequestOutcome::kSucceeded || outcome == RequestOutcome::kTimedOut;
+}
+
+void LearnLatency(Worker& worker, const RequestEnd& end, TimePoint now, Duration window) noexcept {
+  const double weight = 1.0 - Faded(now - worker.latency_updated, window);
+  const double latency_us = std::chrono::duration<double, std::micro>(end.latency).count();
+  const double expected_us = std::chrono::duration<double, std::micro>(end.expected).count();
+  if (expected_us > 0) {
+    UpdateAverage(worker.latency_ratio, latency_us / expected_us, weight);
+  }
+  if (end.work_class == WorkClass::kShort) {
+    UpdateAverage(worker.short_latency_us, latency_us, weight);
+  }
+  worker.latency_updated = now;
+}
+
+}  // namespace
+
+struct WorkerTable::Impl {
+  WorkerTableOptions options;
+  std::map<std::string, Worker, std::less<>> workers;
+  std::map<std::string, ServiceWorkers, std::less<>> services;
+
+  Worker* Find(std::string_view id) noexcept {
+    const auto found = workers.find(id);
+    return found == workers.end() ? nullptr : &found->second;
+  }
+
+  ServiceWorkers& ServiceOf(const std::string& service) {
+    return services.try_emplace(service, options.subset).first->second;
+  }
+
+  void Add(const WorkerInfo& info, const WorkerSign& sign, TimePoint now) {
+    Worker& worker = workers[info.id];
+    worker.info = info;
+    worker.rank = HashBytes(info.id);
+    BecomeLive(worker, sign, now);
+    if (sign.state != WorkerState::kLive) {
+      BecomeUnavailable(worker, sign, now);
+    }
+    ServiceWorkers& service = ServiceOf(info.service);
+    const auto place = std::lower_bound(
+        service.workers.begin(), service.workers.end(), info.id,
+        [](const Worker* other, const std::string& id) { return other->info.id < id; });
+    service.workers.insert(place, &worker);
+    service.Refresh();
+  }
+
+  bool Apply(Worker& worker, const WorkerSign& sign, TimePoint now) {
+    bool changed = false;
+    switch (sign.state) {
+      case WorkerState::kLive:
+        changed = ApplyLive(worker, sign, now, options.list_return_delay);
+        break;
+      case WorkerState::kLeaving:
+        changed = ApplyLeave(worker, sign, now);
+        break;
+      case WorkerState::kGone:
+        changed = ApplyGone(worker, sign, now);
+        break;
+    }
+    if (changed) {
+      ServiceOf(worker.info.service).Refresh();
+    }
+    return changed;
+  }
+
+  /** Forgets workers that have been gone for long enough that no old sign about them is left. */
+  void EraseGone(TimePoint now) {
+    for (auto it = workers.begin(); it != workers.end();) {
+      const Worker& worker = it->second;
+      if (worker.state == WorkerState::kGone && worker.InProgress() == 0 &&
+          now - worker.state_applied >= options.gone_retention) {
+        std::erase(ServiceOf(worker.info.service).workers, &worker);
+        it = workers.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+};
+
+WorkerTable::WorkerTable(const WorkerTableOptions& options)
+    : m_impl(std::make_unique<Impl>(Impl{options, {}, {}})) {}
+WorkerTable::~WorkerTable() = default;
+
+bool WorkerTable::Upsert(const WorkerInfo& info, const WorkerSign& sign, TimePoint now) {
+  Worker* worker = m_impl->Find(info.id);
+  if (worker == nullptr) {
+    if (sign.state == WorkerState::kGone) {
+      return false;
+    }
+    m_impl->Add(info, sign, now);
+    return true;
+  }
+  if (worker->info.service != info.service) {
+    return false;
+  }
+  worker->info = info;
+  return m_impl->Apply(*worker, sign, now);
+}
+
+bool WorkerTable::Apply(std::string_view id, const WorkerSign& sign, TimePoint now) {
+  Worker* worker = m_impl->Find(id);
+  return worker != nullptr && m_impl->Apply(*worker, sign, now);
+}
+
+void WorkerTable::EraseGone(TimePoint now) { m_impl->EraseGone(now); }
+
+const Worker* WorkerTable::Find(std::string_view id) const noexcept { return m_impl->Find(id); }
+
+std::vector<const Worker*> WorkerTable::WorkersOf(std::string_view service) const {
+  const auto found = m_impl->services.find(service);
+  if (found == m_impl->services.end()) {
+    return {};
+  }
+  return {found->second.workers.begin(), found->second.workers.end()};
+}
+
+std::span<const Worker* const> WorkerTable::Candidates(std::string_view service) const noexcept {
+  const auto found = m_impl->services.find(service);
+  if (found == m_impl->services.end()) {
+    return {};
+  }
+  return found->second.candidates;
+}
+
+int WorkerTable::ConnectionsPerWorker(std::string_view service) const noexcept {
+  const auto found = m_impl->services.find(service);
+  return found == m_impl->services.end() ? 1 : found->second.subset.ConnectionsPerWorker();
+}
+
+bool WorkerTable::Started(std::string_view id, WorkClass work_class) {
+  Worker* worker = m_impl->Find(id);
+  if (worker == nullptr || worker->state != WorkerState::kLive) {
+    return false;
+  }
+  ++worker->in_progress[static_cast<std::size_t>(work_class)];
+  return true;
+}
+
+bool WorkerTable::Finished(std::string_view id, const RequestEnd& end, TimePoint now) {
+  Worker* worker = m_impl->Find(id);
+  if (worker == nullptr || worker->InProgress(end.work_class) == 0) {
+    return false;
+  }
+  --worker->in_progress[static_cast<std::size_t>(end.work_class)];
+  if (CountsAsFailure(end.outcome)) {
+    worker->failures = RecentFailures(*worker, now) + 1;
+    worker->failures_updated = now;
+  }
+  if (CountsAsLatency(end.outcome)) {
+    LearnLatency(*worker, end, now, m_impl->options.latency_window);
+  }
+  return true;
+}
+
+void WorkerTable::Report(std::string_view id, const LoadReport& report) {
+  Worker* worker = m_impl->Find(id);
+  if (worker == nullptr || (worker->report && worker->report->taken >= report.taken)) {
+    return;
+  }
+  worker->report = report;
+  worker->own_at_report = worker->InProgress();
+}
+
+void WorkerTable::SetOwnLimit(std::string_view id, int limit) noexcept {
+  if (Worker* worker = m_impl->Find(id)) {
+    worker->own_limit = std::max(1, limit);
+  }
+}
+
+double WorkerTable::RecentFailures(const Worker& worker, TimePoint now) const noexcept {
+  return worker.failures * Faded(now - worker.failures_updated, m_impl->options.failure_window);
+}
+
+}  // namespace qh::routing
--- /dev/null
+++ b/libs/routing/test/test_worker_selector.cc
@@ -0,0 +1,157 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "quetzalhinge/routing/worker_selector.h"
+#include "quetzalhinge/routing/worker_table.h"
+
+namespace qh::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kNow{seconds(1000)};
+
+std::string IdOf(int index) { return "w" + std::to_string(index); }
+
+void AddWorkers(WorkerTable& table, int count) {
+  for (int i = 0; i < count; ++i) {
+    table.Upsert({IdOf(i), "katalog", {"127.0.2.1", 9000}, "jb", 6}, {}, kNow - seconds(60));
+  }
+}
+
+/** Asks for `count` short calls that end at once, and returns how many each worker would get. */
+std::map<std::string, int> Distribution(WorkerSelector& selector, const WorkerTable& table,
+                                        TimePoint now, int count) {
+  RandomGenerator generator(7);
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < count; ++i) {
+    const Worker* worker =
+        selector.Select(table.Candidates("katalog"), {WorkClass::kShort, 0, {}}, now, generator);
+    ++chosen[worker == nullptr ? "none" : worker->info.id];
+  }
+  return chosen;
+}
+
+TEST_CASE("No policy chooses a worker that is leaving, excluded or at its limit") {
+  const bool holds = rc::check([] {
+    WorkerTable table({});
+    AddWorkers(table, 8);
+    // The candidates are taken before the workers leave, as by a caller that kept them too long.
+    const auto before = table.WorkersOf("katalog");
+    const auto leaving = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
+    for (const int index : leaving) {
+      table.Apply(IdOf(index), {WorkerState::kLeaving, SignSource::kNotice, 1, ""}, kNow);
+    }
+    const std::vector<std::string> excluded{IdOf(*rc::gen::inRange(0, 8))};
+    const std::string full = IdOf(*rc::gen::inRange(0, 8));
+    table.SetOwnLimit(full, 1);
+    table.Started(full, WorkClass::kShort);
+    const SelectionRequest request{static_cast<WorkClass>(*rc::gen::inRange(0, kWorkClasses)),
+                                   *rc::gen::element(0.0, 0.3, 0.8), excluded};
+    RandomGenerator generator(*rc::gen::arbitrary<std::uint64_t>());
+    for (const auto& row : kSelectionPolicyNames.rows) {
+      const auto selector = MakeWorkerSelector(row.value);
+      for (int i = 0; i < 20; ++i) {
+        const Worker* worker = selector->Select(before, request, kNow, generator);
+        // RC_ASSERT does not evaluate "||" lazily.
+        const bool allowed = worker == nullptr || (worker->state == WorkerState::kLive &&
+                                                   worker->info.id != excluded.front() &&
+                                                   worker->InProgress() < worker->own_limit);
+        RC_ASSERT(allowed);
+      }
+    }
+  });
+  CHECK(holds);
+}
+
+TEST_CASE("The baselines do what their names say") {
+  WorkerTable table({});
+  AddWorkers(table, 4);
+  SECTION("round_robin takes each worker in turn") {
+    const auto selector = MakeWorkerSelector(SelectionPolicy::kRoundRobin);
+    CHECK(Distribution(*selector, table, kNow, 8) ==
+          std::map<std::string, int>{{"w0", 2}, {"w1", 2}, {"w2", 2}, {"w3", 2}});
+  }
+  SECTION("least_requests takes the worker with the fewest own requests") {
+    for (const char* id : {"w0", "w1", "w3"}) {
+      REQUIRE(table.Started(id, WorkClass::kShort));
+    }
+    const auto selector = MakeWorkerSelector(SelectionPolicy::kLeastRequests);
+    CHECK(Distribution(*selector, table, kNow, 10) == std::map<std::string, int>{{"w2", 10}});
+  }
+  SECTION("random takes each about equally often") {
+    const auto selector = MakeWorkerSelector(SelectionPolicy::kRandom);
+    for (const auto& [id, count] : Distribution(*selector, table, kNow, 4000)) {
+      CAPTURE(id);
+      CHECK(count == Approx(1000).margin(150));
+    }
+  }
+}
+
+TEST_CASE("load_aware gives less work to workers that cannot do it well") {
+  WorkerTable table({});
+  AddWorkers(table, 4);
+  const auto selector = MakeWorkerSelector(SelectionPolicy::kLoadAware);
+  const auto finish = [&](const std::string& id, RequestOutcome outcome, Duration latency) {
+    table.Started(id, WorkClass::kShort);
+    table.Finished(id, {WorkClass::kShort, outcome, latency, milliseconds(10)}, kNow);
+  };
+  for (int i = 0; i < 4; ++i) {
+    finish(IdOf(i), RequestOutcome::kSucceeded, milliseconds(10));
+  }
+  SECTION("healthy workers share it") {
+    for (const auto& [id, count] : Distribution(*selector, table, kNow, 4000)) {
+      CAPTURE(id);
+      CHECK(count == Approx(1000).margin(150));
+    }
+  }
+  SECTION("one that fails fast gets none at first, and is tried again later") {
+    finish("w2", RequestOutcome::kFailed, milliseconds(1));
+    CHECK(Distribution(*selector, table, kNow, 4000)["w2"] == 0);
+    CHECK(Distribution(*selector, table, kNow + seconds(30), 4000)["w2"] > 0);
+  }
+  SECTION("one that is back gets a growing share") {
+    table.Apply("w2", {WorkerState::kLeaving, SignSource::kNotice, 1, "a"}, kNow);
+    table.Apply("w2", {WorkerState::kLive, SignSource::kNotice, 2, "b"}, kNow);
+    const int at_once = Distribution(*selector, table, kNow, 4000)["w2"];
+    const int later = Distribution(*selector, table, kNow + seconds(6), 4000)["w2"];
+    CHECK(at_once < later / 2);
+  }
+}
+
+TEST_CASE("load_aware keeps slots of each worker free of long work") {
+  WorkerTable table({});
+  AddWorkers(table, 1);
+  const auto selector = MakeWorkerSelector(SelectionPolicy::kLoadAware);
+  RandomGenerator generator(7);
+  const auto start = [&](WorkClass work_class, double reserved_share) {
+    const Worker* worker = selector->Select(table.Candidates("katalog"),
+                                            {work_class, reserved_share, {}}, kNow, generator);
+    return worker != nullptr && table.Started(worker->info.id, work_class);
+  };
+  SECTION("long work waits for a free slot, short work does not") {
+    int started = 0;
+    while (started < 6 && start(WorkClass::kLong, 0.5)) {
+      ++started;
+    }
+    CHECK(started >= 1);
+    CHECK(started <= 3);
+    CHECK(start(WorkClass::kShort, 0.5));
+  }
+  SECTION("unknown routes have a small share of their own") {
+    CHECK(start(WorkClass::kUnknown, 0.5));
+    CHECK_FALSE(start(WorkClass::kUnknown, 0.5));
+    CHECK(start(WorkClass::kLong, 0.5));
+  }
+  SECTION("nothing is held back while only one class is in use") {
+    for (int i = 0; i < 6; ++i) {
+      CHECK(start(WorkClass::kUnknown, 0));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace qh::routing
--- /dev/null
+++ b/libs/routing/test/test_worker_table.cc
@@ -0,0 +1,174 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+#include "quetzalhinge/routing/worker_table.h"
+
+namespace qh::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr UnixMicros kSecond = 1000000;
+constexpr UnixMicros kStart = 1796378000 * kSecond;
+const TimePoint kNow{seconds(1000)};
+
+WorkerInfo Info(const std::string& id) { return {id, "katalog", {"127.0.2.1", 9000}, "jb", 6}; }
+
+WorkerSign Sign(WorkerState state, SignSource source, UnixMicros stamp,
+                const std::string& incarnation = "") {
+  return {state, source, stamp, incarnation};
+}
+
+TEST_CASE("A worker that leaves receives no work until it is certainly back") {
+  WorkerTable table({});
+  REQUIRE(
+      table.Upsert(Info("w1"), Sign(WorkerState::kLive, SignSource::kVmList, kStart, "a"), kNow));
+  REQUIRE(table.Candidates("katalog").size() == 1);
+
+  SECTION("the first sign counts from every source, even if its clock is behind") {
+    const auto source = GENERATE(SignSource::kVmList, SignSource::kResponseHeader,
+                                 SignSource::kHealthEndpoint, SignSource::kNotice);
+    CHECK(table.Apply("w1", Sign(WorkerState::kLeaving, source, kStart - kSecond), kNow));
+    CHECK(table.Candidates("katalog").empty());
+    CHECK_FALSE(table.Started("w1", WorkClass::kShort));
+  }
+  SECTION("once it is leaving") {
+    const UnixMicros left = kStart + 60 * kSecond;
+    REQUIRE(table.Apply("w1", Sign(WorkerState::kLeaving, SignSource::kResponseHeader, left, "a"),
+                        kNow));
+    SECTION("the same incarnation does not bring itself back") {
+      CHECK_FALSE(table.Apply(
+          "w1", Sign(WorkerState::kLive, SignSource::kHealthEndpoint, left + 100 * kSecond, "a"),
+          kNow + seconds(100)));
+    }
+    SECTION("a new incarnation does, from any source, and starts slowly") {
+      CHECK(table.Apply("w1", Sign(WorkerState::kLive, SignSource::kNotice, left + kSecond, "b"),
+                        kNow + seconds(1)));
+      CHECK(table.Find("w1")->live_since == kNow + seconds(1));
+      SECTION("and late signs of the earlier leave are ignored") {
+        CHECK_FALSE(table.Apply("w1", Sign(WorkerState::kLeaving, SignSource::kNotice, left),
+                                kNow + seconds(2)));
+        CHECK_FALSE(table.Apply("w1",
+                                Sign(WorkerState::kLeaving, SignSource::kResponseHeader, left, "a"),
+                                kNow + seconds(2)));
+      }
+    }
+    SECTION("the list does only 10 s later, by its stamp and by the own clock") {
+      const auto live_at = [&](int stamp_s, int now_s) {
+        return table.Apply("w1",
+                           Sign(WorkerState::kLive, SignSource::kVmList, left + stamp_s * kSecond),
+                           kNow + seconds(now_s));
+      };
+      CHECK_FALSE(live_at(9, 11));
+      CHECK_FALSE(live_at(11, 9));
+      CHECK(live_at(11, 11));
+    }
+    SECTION("a further sign of the leave starts the 10 s again") {
+      CHECK_FALSE(table.Apply(
+          "w1", Sign(WorkerState::kLeaving, SignSource::kHealthEndpoint, left + 8 * kSecond),
+          kNow + seconds(8)));
+      CHECK_FALSE(table.Apply("w1",
+                              Sign(WorkerState::kLive, SignSource::kVmList, left + 12 * kSecond),
+                              kNow + seconds(12)));
+    }
+  }
+}
+
+TEST_CASE("A worker that is gone is remembered until no late sign can be on its way") {
+  WorkerTable table({});
+  table.Upsert(Info("w1"), Sign(WorkerState::kLive, SignSource::kVmList, kStart), kNow);
+  REQUIRE(table.Started("w1", WorkClass::kLong));
+  CHECK_FALSE(table.Apply("w1", Sign(WorkerState::kGone, SignSource::kNotice, kStart + 1), kNow));
+  REQUIRE(table.Apply("w1", Sign(WorkerState::kGone, SignSource::kVmList, kStart + 1), kNow));
+  CHECK_FALSE(
+      table.Upsert(Info("w1"), Sign(WorkerState::kLive, SignSource::kVmList, kStart), kNow));
+  CHECK(table.Candidates("katalog").empty());
+  SECTION("and as long as a request is in progress there") {
+    table.EraseGone(kNow + seconds(61));
+    REQUIRE(table.Find("w1") != nullptr);
+    CHECK(table.Finished("w1", {WorkClass::kLong}, kNow));
+    table.EraseGone(kNow + seconds(61));
+    CHECK(table.Find("w1") == nullptr);
+    CHECK(table.WorkersOf("katalog").empty());
+  }
+}
+
+TEST_CASE("The table learns from the requests that end") {
+  WorkerTable table({});
+  table.Upsert(Info("w1"), Sign(WorkerState::kLive, SignSource::kVmList, kStart), kNow);
+  const auto end = [&](RequestOutcome outcome, Duration latency, TimePoint at) {
+    REQUIRE(table.Started("w1", WorkClass::kShort));
+    REQUIRE(table.Finished("w1", {WorkClass::kShort, outcome, latency, milliseconds(10)}, at));
+  };
+  SECTION("the latency average follows within seconds") {
+    end(RequestOutcome::kSucceeded, milliseconds(10), kNow);
+    CHECK(*table.Find("w1")->latency_ratio == Approx(1.0));
+    for (int i = 1; i <= 30; ++i) {
+      end(RequestOutcome::kSucceeded, milliseconds(100), kNow + milliseconds(100) * i);
+    }
+    CHECK(*table.Find("w1")->latency_ratio > 9.0);
+  }
+  SECTION("fast failures and cancelled requests do not lower the latency") {
+    end(RequestOutcome::kSucceeded, milliseconds(10), kNow);
+    end(RequestOutcome::kFailed, milliseconds(1), kNow + seconds(1));
+    end(RequestOutcome::kCancelled, milliseconds(1), kNow + seconds(1));
+    CHECK(*table.Find("w1")->latency_ratio == Approx(1.0));
+    CHECK(table.RecentFailures(*table.Find("w1"), kNow + seconds(1)) == Approx(1.0));
+    CHECK(table.RecentFailures(*table.Find("w1"), kNow + seconds(11)) < 0.01);
+  }
+  SECTION("an older load report does not replace a newer one") {
+    table.Report("w1", {5, 6, kNow});
+    table.Report("w1", {1, 6, kNow - milliseconds(1)});
+    CHECK(table.Find("w1")->report->in_progress == 5);
+  }
+}
+
+TEST_CASE("In-progress counts never go negative and match what was started") {
+  const bool holds = rc::check([] {
+    WorkerTable table({});
+    table.Upsert(Info("w1"), Sign(WorkerState::kLive, SignSource::kVmList, kStart), kNow);
+    std::array<int, kWorkClasses> expected{};
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, bool>>>(
+        rc::gen::pair(rc::gen::inRange(0, kWorkClasses), rc::gen::arbitrary<bool>()));
+    for (const auto& [index, start] : steps) {
+      const auto work_class = static_cast<WorkClass>(index);
+      int& count = expected[static_cast<std::size_t>(index)];
+      if (start) {
+        RC_ASSERT(table.Started("w1", work_class));
+        ++count;
+      } else {
+        RC_ASSERT(table.Finished("w1", {work_class}, kNow) == (count > 0));
+        count = std::max(0, count - 1);
+      }
+      RC_ASSERT(table.Find("w1")->in_progress == expected);
+    }
+  });
+  CHECK(holds);
+}
+
+TEST_CASE("No stale live sign brings a leaving worker back") {
+  const bool holds = rc::check([] {
+    WorkerTable table({});
+    table.Upsert(Info("w1"), Sign(WorkerState::kLive, SignSource::kVmList, kStart, "a"), kNow);
+    const UnixMicros left = kStart + kSecond;
+    table.Apply("w1", Sign(WorkerState::kLeaving, SignSource::kNotice, left), kNow);
+    const auto signs = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+        rc::gen::tuple(rc::gen::inRange(0, 4), rc::gen::inRange(-20, 60), rc::gen::inRange(0, 60)));
+    for (const auto& [source_index, stamp_s, now_s] : signs) {
+      const auto source = static_cast<SignSource>(source_index);
+      const auto sign = Sign(WorkerState::kLive, source, left + stamp_s * kSecond, "a");
+      const bool may_return = source == SignSource::kVmList && stamp_s >= 10 && now_s >= 10;
+      RC_ASSERT(table.Apply("w1", sign, kNow + seconds(now_s)) == may_return);
+      if (may_return) {
+        return;
+      }
+      RC_ASSERT(table.Candidates("katalog").empty());
+    }
+  });
+  CHECK(holds);
+}
+
+}  // namespace
+}  // namespace qh::routing
