--- a/apps/qh-entry/src/call_task.cc
+++ b/apps/qh-entry/src/call_task.cc
@@ -16,6 +16,8 @@
 constexpr milliseconds kHopAllowance{1};
 
 const retries::RetryPolicy kRetryPolicy;
+/** The classifier names a p95 only after enough samples, so no number of them is asked for here. */
+const retries::HedgePolicy kHedgePolicy(0);
 
 limits::PriorityClass ToQueuePriority(contract::PriorityClass priority) {
   switch (priority) {
@@ -236,19 +238,24 @@
 }
 
 void CallTask::OnAttemptEnd(const std::string& worker, AttemptResult result) {
-  m_worker_time += result.latency;
+  std::erase_if(m_running, [&](const RunningAttempt& running) { return running.worker == worker; });
+  m_worker_time = std::max(m_worker_time, result.latency);
   m_context.events.Add("attempt_ended", m_request_id, m_call.customer, worker,
                        result.end == AttemptEnd::kAnswered
                            ? "status " + std::to_string(result.response.status)
                            : ToString(result.error));
   if (result.end == AttemptEnd::kAnswered) {
+    CancelOtherAttempts();
     Deliver(result);
     return;
   }
   if (!retries::CertainlyNotRun(StageOf(result.end))) {
     m_may_have_run = true;
   }
-  RetryOrFail(result);
+  if (m_running.empty()) {
+    m_hedge_timer.reset();
+    RetryOrFail(result);
+  }
 }
 
 void CallTask::Deliver(const AttemptResult& result) {
--- a/apps/qh-entry/src/call_task.h
+++ b/apps/qh-entry/src/call_task.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "call_service.h"
+#include "quetzalhinge/retries/hedge_policy.h"
 #include "quetzalhinge/retries/retry_policy.h"
 
 namespace qh::entry {
@@ -42,7 +43,11 @@
   void StartOrWait();
   http::HttpRequest MakeWorkerRequest() const;
   std::chrono::milliseconds AttemptTimeout();
+  void ScheduleHedge();
+  void StartHedge();
+  retries::HedgeCandidate ToHedgeCandidate() const;
   void OnAttemptEnd(const std::string& worker, AttemptResult result);
+  void CancelOtherAttempts();
   void Deliver(const AttemptResult& result);
   void RetryOrFail(const AttemptResult& result);
   CallError ErrorOfAttempt(const AttemptResult& result) const;
@@ -64,7 +69,15 @@
   routing::RouteProfile m_profile;
   std::optional<idempotency::KeyTicket> m_ticket;
   std::vector<std::string> m_tried_workers;
+  /** Attempts started so far, hedges included. */
   std::uint32_t m_attempts = 0;
+  /** An attempt in progress. */
+  struct RunningAttempt {
+    std::string worker;
+    std::uint64_t number;
+  };
+  std::vector<RunningAttempt> m_running;
+  std::unique_ptr<net::Timer> m_hedge_timer;
   /** Whether an attempt may have run, so that "not run" can no longer be answered. */
   bool m_may_have_run = false;
   Duration m_worker_time{};
--- a/apps/qh-entry/src/worker_pool.cc
+++ b/apps/qh-entry/src/worker_pool.cc
@@ -96,6 +96,13 @@
   TimePoint last_probe;
 };
 
+/** An attempt in progress. */
+struct ActiveAttempt {
+  AttemptRequest attempt;
+  WorkerPool::AttemptCallback callback;
+  std::shared_ptr<http::HttpCall> call;
+};
+
 struct WorkerPool::Impl : std::enable_shared_from_this<WorkerPool::Impl> {
   net::EventLoop& loop;
   const vm_settings::EntryVmSettings& settings;
@@ -112,7 +119,7 @@
   std::function<void(const std::string&)> on_capacity;
   net::Timer maintenance;
   std::uint64_t next_attempt = 1;
-  std::size_t in_progress = 0;
+  std::map<std::uint64_t, ActiveAttempt> attempts;
   metrics::Counter& probes;
   metrics::Counter& silent_discards;
 
@@ -257,27 +264,53 @@
     return worker == nullptr ? std::nullopt : std::optional<std::string>(worker->info.id);
   }
 
-  void StartAttempt(AttemptRequest attempt, AttemptCallback callback) {
+  std::uint64_t StartAttempt(AttemptRequest attempt, AttemptCallback callback) {
     const std::uint64_t number = next_attempt++;
     WorkerConnections& connection = connections.find(attempt.worker)->second;
     connection.in_progress.emplace(number, attempt.fingerprint);
     table.Started(attempt.worker, attempt.profile.work_class);
-    ++in_progress;
     const auto own_in_progress =
         static_cast<std::uint32_t>(table.Find(attempt.worker)->InProgress());
     const TimePoint started = loop.Now();
     const http::HttpRequest request = std::move(attempt.request);
-    const milliseconds timeout = attempt.timeout;
-    http::HttpClient& client = *connection.client;
-    client.Start(
-        request, timeout,
-        [self = weak_from_this(), number, started, own_in_progress, attempt = std::move(attempt),
-         callback = std::move(callback)](http::HttpCallResult result) {
+    ActiveAttempt& active = attempts[number];
+    active.attempt = std::move(attempt);
+    active.callback = std::move(callback);
+    active.call = connection.client->Start(
+        request, active.attempt.timeout,
+        [self = weak_from_this(), number, started, own_in_progress](http::HttpCallResult result) {
           if (const std::shared_ptr<Impl> impl = self.lock()) {
-            callback(impl->Finish(number, started, own_in_progress, attempt, std::move(result)));
-            impl->on_capacity(attempt.route.service);
+            impl->OnCallEnd(number, started, own_in_progress, std::move(result));
           }
         });
+    return number;
+  }
+
+  void OnCallEnd(std::uint64_t number, TimePoint started, std::uint32_t own_in_progress,
+                 http::HttpCallResult result) {
+    const auto found = attempts.find(number);
+    if (found == attempts.end()) {
+      return;
+    }
+    const ActiveAttempt active = std::move(found->second);
+    attempts.erase(found);
+    active.callback(Finish(number, started, own_in_progress, active.attempt, std::move(result)));
+    on_capacity(active.attempt.route.service);
+  }
+
+  void CancelAttempt(std::uint64_t number) {
+    const auto found = attempts.find(number);
+    if (found == attempts.end()) {
+      return;
+    }
+    const ActiveAttempt active = std::move(found->second);
+    attempts.erase(found);
+    active.call->Cancel();
+    connections.find(active.attempt.worker)->second.in_progress.erase(number);
+    table.Finished(active.attempt.worker,
+                   {active.attempt.profile.work_class, RequestOutcome::kCancelled, {}, {}},
+                   loop.Now());
+    on_capacity(active.attempt.route.service);
   }
 
   AttemptResult Finish(std::uint64_t number, TimePoint started, std::uint32_t own_in_progress,
@@ -292,7 +325,6 @@
       NoteLoss(attempt.worker, connection);
     }
     connection.in_progress.erase(number);
-    --in_progress;
     Learn(attempt, ended, own_in_progress, connection);
     return ended;
   }
@@ -462,10 +494,12 @@
   return m_impl->Select(service, work_class, excluded);
 }
 
-void WorkerPool::StartAttempt(AttemptRequest request, AttemptCallback callback) {
-  m_impl->StartAttempt(std::move(request), std::move(callback));
+std::uint64_t WorkerPool::StartAttempt(AttemptRequest request, AttemptCallback callback) {
+  return m_impl->StartAttempt(std::move(request), std::move(callback));
 }
 
+void WorkerPool::CancelAttempt(std::uint64_t number) { m_impl->CancelAttempt(number); }
+
 std::optional<Duration> WorkerPool::QuarantineLeft(std::uint64_t fingerprint) const {
   return m_impl->suspects.QuarantineLeft(fingerprint, m_impl->loop.Now());
 }
@@ -474,6 +508,6 @@
   return m_impl->classifier.ProfileOf(route);
 }
 
-std::size_t WorkerPool::InProgress() const noexcept { return m_impl->in_progress; }
+std::size_t WorkerPool::InProgress() const noexcept { return m_impl->attempts.size(); }
 
 }  // namespace qh::entry
--- a/apps/qh-entry/src/worker_pool.h
+++ b/apps/qh-entry/src/worker_pool.h
@@ -103,13 +103,19 @@
   std::optional<std::string> Select(const std::string& service, routing::WorkClass work_class,
                                     std::span<const std::string> excluded);
 
-  /** Starts an attempt at a worker that Select() returned in the same round of the loop. */
-  void StartAttempt(AttemptRequest request, AttemptCallback callback);
+  /**
+   * Starts an attempt at a worker that Select() returned in the same round of the loop.
+   * @return the number for CancelAttempt()
+   */
+  std::uint64_t StartAttempt(AttemptRequest request, AttemptCallback callback);
+
+  /** Closes the connection of an attempt, which tells the worker to stop; no callback follows. */
+  void CancelAttempt(std::uint64_t number);
 
   /** Returns how much longer `fingerprint` is under quarantine; nothing if it may run. */
   std::optional<Duration> QuarantineLeft(std::uint64_t fingerprint) const;
 
-  /** Returns what is known about the route's latency. */
+  /** Returns what is known about the route's latency and class. */
   routing::RouteProfile ProfileOf(const routing::Route& route) const;
 
   /** Returns the number of attempts in progress. */
