--- /dev/null
+++ b/libs/limits/test/test_rate_shares.cc
@@ -0,0 +1,199 @@
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <set>
+
+#include "quetzalhinge/limits/token_bucket.h"
+#include "share_world.h"
+
+namespace qh::limits {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr ContractRate kContract{400, 80};
+constexpr double kRounding = 1e-9;
+
+SlotNumber NonHomeSlot(const std::vector<SlotNumber>& homes) {
+  SlotNumber slot = 0;
+  while (std::find(homes.begin(), homes.end(), slot) != homes.end()) {
+    ++slot;
+  }
+  return slot;
+}
+
+void ChangeSomeLoads(ShareWorld& world, SlotNumber vm_count) {
+  constexpr double kLoads[] = {0, 0, 5, 40, 200, 1000};
+  auto& random = world.Random();
+  if (random() % 30 == 0) {
+    world.SetLoad(static_cast<SlotNumber>(random() % vm_count), kLoads[random() % 6]);
+  }
+}
+
+// Guards against shares that add up to more than the contract when messages are lost, late,
+// repeated or out of order, clocks disagree, or VMs are paused or replaced.
+TEST_CASE("All shares together never exceed the contract") {
+  const bool holds = rc::check([](std::uint64_t seed) {
+    ShareWorldOptions options;
+    options.seed = seed;
+    options.vm_count = *rc::gen::inRange<SlotNumber>(1, 20);
+    options.loss = *rc::gen::element(0.0, 0.1, 0.5);
+    options.duplication = *rc::gen::element(0.0, 0.3);
+    options.longest_delay =
+        *rc::gen::element(milliseconds(3), milliseconds(300), milliseconds(6000));
+    options.pause = *rc::gen::element(0.0, 0.002, 0.01);
+    options.restart = *rc::gen::element(0.0, 0.001);
+    options.clock_drift = *rc::gen::element(0.0, 0.01);
+    ShareWorld world(options, kContract);
+    // The contract as one bucket; what the page's bound allows beyond it is 1 request per VM.
+    const auto start = TimePoint(world.Now());
+    const double most = kContract.burst + options.vm_count;
+    TokenBucket contract(kContract.requests_per_second * (1 + options.clock_drift), most, most,
+                         start);
+    double largest = 0;
+    while (world.Now() < start.time_since_epoch() + seconds(20)) {
+      ChangeSomeLoads(world, options.vm_count);
+      world.Step();
+      largest = std::max(largest, world.TotalFraction());
+      RC_ASSERT(largest <= 1 + kRounding);
+      RC_ASSERT(contract.TryTake(world.AdmittedInStep(), TimePoint(world.Now())));
+    }
+    RC_CLASSIFY(largest > 0.99, "whole contract in use");
+  });
+  CHECK(holds);
+}
+
+TEST_CASE("A customer that uses one VM reaches its full rate within 2 s") {
+  ShareWorldOptions options;
+  double expected = 1;
+  bool uses_home = true;
+  SECTION("at a home VM") {}
+  SECTION("at a VM that is no home of the customer") { uses_home = false; }
+  SECTION("while a fifth of the messages is lost") { options.loss = 0.2; }
+  ShareWorld world(options, kContract);
+  const std::vector<SlotNumber> homes = world.LedgerOf(0).HomeSlots();
+  const SlotNumber slot = uses_home ? homes[3] : NonHomeSlot(homes);
+  SECTION("of the home VMs that live, when four are dead") {
+    for (const std::size_t rank : {0U, 1U, 5U, 11U}) {
+      world.Kill(homes[rank]);
+    }
+    expected = 8.0 / 12;
+  }
+  world.SetLoad(slot, 500);
+  world.Run(seconds(2));
+  CHECK(world.FractionOf(slot) >= expected - kRounding);
+
+  // The rate must last beyond the life of the first loans.
+  const int before = world.AdmittedAt(slot);
+  world.Run(seconds(10));
+  CHECK(world.AdmittedAt(slot) - before >= 0.97 * 10 * expected * kContract.requests_per_second);
+}
+
+TEST_CASE("Shares move with the demand") {
+  ShareWorld world({}, kContract);
+  const std::vector<SlotNumber> homes = world.LedgerOf(0).HomeSlots();
+  const SlotNumber first = homes[0];
+  const SlotNumber second = homes[6];
+  world.SetLoad(first, 1000);
+  world.Run(seconds(3));
+  REQUIRE(world.FractionOf(first) > 0.999);
+
+  SECTION("a lender whose own demand returns has its share back when the loan has ended") {
+    world.SetLoad(second, 30);
+    world.Run(milliseconds(3200 + 500));
+    const int before = world.AdmittedAt(second);
+    world.Run(seconds(5));
+    CHECK(world.AdmittedAt(second) - before >= 0.97 * 150);
+  }
+  SECTION("two VMs with high demand get about equal parts") {
+    world.SetLoad(second, 1000);
+    world.Run(seconds(10));
+    CHECK(world.FractionOf(first) == Approx(0.5).margin(0.1));
+    CHECK(world.FractionOf(second) == Approx(0.5).margin(0.1));
+    CHECK(world.TotalFraction() > 0.9);
+  }
+  SECTION("when the demand ends, all loans return") {
+    world.SetLoad(first, 0);
+    world.Run(seconds(6));
+    CHECK(world.FractionOf(first) == Approx(1.0 / 12));
+    CHECK(world.TotalFraction() == Approx(1.0));
+  }
+}
+
+TEST_CASE("A process that has just started borrows but does not use or lend its own share") {
+  RateShareOptions options;
+  options.customer = "semarang";
+  options.vm_count = 2;
+  const TimePoint start{seconds(50)};
+  RateShareLedger ledger(options, kContract, start, start);
+  const BorrowRequest request{7, 1, 0, 0.5, seconds(3)};
+  CHECK(ledger.UsableFraction(start + milliseconds(3199)) == 0);
+  CHECK_FALSE(ledger.TryTake(start + milliseconds(3199)));
+  CHECK(ledger.OnRequest(request, start + milliseconds(3199))->fraction == 0);
+  CHECK(ledger.UsableFraction(start + milliseconds(3200)) == 0.5);
+}
+
+TEST_CASE("Messages that make no sense change nothing") {
+  RateShareOptions options;
+  options.customer = "semarang";
+  options.vm_count = 2;
+  const TimePoint now{seconds(50)};
+  RandomGenerator generator(5);
+  RateShareLedger ledger(options, kContract, now - seconds(10), now);
+
+  SECTION("requests for another slot, of itself, of unknown slots or with impossible values") {
+    const std::vector<BorrowRequest> bad{
+        {1, 1, 1, 0.5, seconds(3)}, {1, 0, 0, 0.5, seconds(3)},  {1, 2, 0, 0.5, seconds(3)},
+        {1, 1, 0, 0, seconds(3)},   {1, 1, 0, -0.5, seconds(3)}, {1, 1, 0, 1.5, seconds(3)},
+        {1, 1, 0, NAN, seconds(3)}, {1, 1, 0, 0.5, seconds(0)},  {1, 1, 0, 0.5, seconds(4)}};
+    for (std::size_t i = 0; i < bad.size(); ++i) {
+      CAPTURE(i);
+      CHECK_FALSE(ledger.OnRequest(bad[i], now).has_value());
+    }
+    CHECK(ledger.UsableFraction(now) == 0.5);
+  }
+  SECTION("grants that nobody asked for, that exceed the request, come twice or too late") {
+    for (int i = 0; i < 1000; ++i) {
+      ledger.TryTake(now + milliseconds(i));
+    }
+    const TimePoint sent = now + seconds(1);
+    const auto requests = ledger.PlanRequests(sent, generator);
+    REQUIRE(requests.size() == 1);
+    const std::uint64_t id = requests[0].request_id;
+    CHECK_FALSE(ledger.OnGrant({id + 1, 0, 1, 0.5}, sent));
+    CHECK_FALSE(ledger.OnGrant({id, 1, 0, 0.5}, sent));
+    CHECK_FALSE(ledger.OnGrant({id, 0, 1, NAN}, sent));
+    SECTION("on time it counts once, until 3 s after the request was sent") {
+      CHECK(ledger.OnGrant({id, 0, 1, 0.25}, sent + seconds(2)));
+      CHECK_FALSE(ledger.OnGrant({id, 0, 1, 0.25}, sent + seconds(2)));
+      CHECK(ledger.UsableFraction(sent + milliseconds(2999)) == 0.75);
+      CHECK(ledger.UsableFraction(sent + seconds(3)) == 0.5);
+    }
+    SECTION("more than was asked for") { CHECK_FALSE(ledger.OnGrant({id, 0, 1, 0.6}, sent)); }
+    SECTION("after its end") { CHECK_FALSE(ledger.OnGrant({id, 0, 1, 0.25}, sent + seconds(3))); }
+    CHECK(ledger.UsableFraction(sent + seconds(4)) == 0.5);
+  }
+}
+
+TEST_CASE("Home slots are spread over the VMs and change little when VMs are added") {
+  std::set<SlotNumber> used;
+  int moved = 0;
+  constexpr int kCustomers = 200;
+  for (int i = 0; i < kCustomers; ++i) {
+    const std::string customer = "customer-" + std::to_string(i);
+    const auto homes = HomeSlotsOf(customer, 100, 12);
+    const auto more = HomeSlotsOf(customer, 101, 12);
+    REQUIRE(std::set(homes.begin(), homes.end()).size() == 12);
+    used.insert(homes.begin(), homes.end());
+    moved += std::count(more.begin(), more.end(), 100U);
+  }
+  CHECK(used.size() == 100);
+  CHECK(moved == Approx(kCustomers * 12 / 101.0).margin(20));
+  CHECK(HomeSlotsOf("semarang", 3, 12).size() == 3);
+}
+
+}  // namespace
+}  // namespace qh::limits
