--- a/libs/routing/src/load_aware_selector.cc
+++ b/libs/routing/src/load_aware_selector.cc
@@ -11,7 +11,8 @@
 /** Cost of a worker in another availability zone as a multiple of the same one in the own zone. */
 constexpr double kOtherZoneFactor = 1.2;
 constexpr double kLeastSlowStartShare = 0.05;
-/** Half the range of random factors on costs, so that differences without meaning decide nothing. */
+/** Half the range of random factors on costs, so that differences without meaning decide nothing.
+ */
 constexpr double kCostJitter = 0.05;
 /** Slots of each worker that this VM uses for routes it cannot classify yet. */
 constexpr int kUnknownSlots = 1;
