--- a/apps/qh-entry/src/call_task.cc
+++ b/apps/qh-entry/src/call_task.cc
@@ -202,10 +202,65 @@
   attempt.profile = m_profile;
   attempt.max_response_bytes = static_cast<std::size_t>(m_contract->limits.max_response_bytes);
   m_context.events.Add("attempt_started", m_request_id, m_call.customer, worker, m_call.service);
-  m_context.workers.StartAttempt(std::move(attempt),
-                                 [self = shared_from_this(), worker](AttemptResult result) {
-                                   self->OnAttemptEnd(worker, std::move(result));
-                                 });
+  const std::uint64_t number = m_context.workers.StartAttempt(
+      std::move(attempt), [self = shared_from_this(), worker](AttemptResult result) {
+        self->OnAttemptEnd(worker, std::move(result));
+      });
+  m_running.push_back({worker, number});
+  if (m_attempts == 1) {
+    ScheduleHedge();
+  }
+}
+
+retries::HedgeCandidate CallTask::ToHedgeCandidate() const {
+  retries::HedgeCandidate candidate;
+  candidate.idempotent = m_idempotent;
+  candidate.no_retry = m_call.no_retry;
+  candidate.deadline = m_deadline;
+  candidate.p95 = m_profile.p95;
+  return candidate;
+}
+
+void CallTask::ScheduleHedge() {
+  if (m_profile.p95 <= Duration::zero()) {
+    return;
+  }
+  const std::optional<Duration> delay =
+      kHedgePolicy.DelayOf(ToHedgeCandidate(), m_context.loop.Now());
+  if (!delay.has_value()) {
+    return;
+  }
+  m_hedge_timer = std::make_unique<net::Timer>(m_context.loop, [weak = weak_from_this()] {
+    if (const std::shared_ptr<CallTask> self = weak.lock()) {
+      self->StartHedge();
+    }
+  });
+  m_hedge_timer->StartOnce(std::chrono::ceil<milliseconds>(*delay));
+}
+
+void CallTask::StartHedge() {
+  CustomerState* customer = m_context.customers.Find(m_call.customer);
+  if (customer == nullptr || m_running.empty() || CheckQuarantine().has_value()) {
+    return;
+  }
+  // No hedge while calls wait for a worker: their first attempts come before second ones.
+  if (m_service.HasQueue(m_call.service, m_profile.work_class)) {
+    return;
+  }
+  const std::optional<std::string> worker =
+      m_context.workers.Select(m_call.service, m_profile.work_class, m_tried_workers);
+  if (worker.has_value() && kHedgePolicy.TryStart(ToHedgeCandidate(), m_context.loop.Now(),
+                                                  customer->BudgetOf(m_call.service))) {
+    m_context.metrics.CounterOf("qh_hedges_total").Add();
+    StartAt(*worker);
+  }
+}
+
+void CallTask::CancelOtherAttempts() {
+  m_hedge_timer.reset();
+  for (const RunningAttempt& running : std::exchange(m_running, {})) {
+    m_context.workers.CancelAttempt(running.number);
+  }
 }
 
 http::HttpRequest CallTask::MakeWorkerRequest() const {
