Free h2o's timers only after libuv has closed them

Cause: a pool of connections was freed while libuv still held the handle of its timer; qh-entry ended with an assertion at its first VM list, because looking up a worker made and dropped a client each time. The lookup no longer makes one, and idle connections are kept for 4 s, below common server limits.

--- a/apps/qh-entry/src/worker_pool.cc
+++ b/apps/qh-entry/src/worker_pool.cc
@@ -174,8 +174,11 @@
   }
 
   WorkerConnections& ConnectionsOf(const routing::WorkerInfo& info) {
-    WorkerConnections& connection =
-        connections.try_emplace(info.id, MakeConnections(info)).first->second;
+    const auto found = connections.find(info.id);
+    if (found == connections.end()) {
+      return connections.emplace(info.id, MakeConnections(info)).first->second;
+    }
+    WorkerConnections& connection = found->second;
     // A client that is destroyed drops its calls, so one in use is kept until they have ended.
     if (connection.client->Peer() != info.endpoint && connection.in_progress.empty()) {
       connection.client = MakeClient(info.endpoint);
--- a/libs/http/include/quetzalhinge/http/http_client.h
+++ b/libs/http/include/quetzalhinge/http/http_client.h
@@ -41,8 +41,11 @@
 struct HttpClientOptions {
   /** How long establishing a connection may take. */
   std::chrono::milliseconds connect_timeout{500};
-  /** How long an idle connection is kept for reuse. */
-  std::chrono::milliseconds idle_timeout{10000};
+  /**
+   * How long an idle connection is kept for reuse. Below the 5 s after which many servers close
+   * idle connections: a request that meets such a close may or may not have run.
+   */
+  std::chrono::milliseconds idle_timeout{4000};
   /** Longest response body; a longer one fails the call at stage kResponseStarted. */
   std::size_t max_response_bytes = 4 * 1024 * 1024;
 };
--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -60,20 +60,32 @@
 
 namespace {
 
+/**
+ * Frees `object` after the loop has closed the timers in it. They are closed at the end of a round
+ * of the loop; the second task runs after that.
+ */
+template <typename Object>
+void FreeAfterClosing(net::EventLoop& loop, std::unique_ptr<Object> object) {
+  loop.Post([&loop, kept = std::shared_ptr<Object>(std::move(object))] { loop.Post([kept] {}); });
+}
+
 /** h2o's pool of connections to one peer. Lives until the last call that uses it has ended. */
 struct ConnectionPool {
-  h2o_socketpool_t pool{};
+  std::unique_ptr<h2o_socketpool_t> pool = std::make_unique<h2o_socketpool_t>();
   net::EventLoop& loop;
 
   ConnectionPool(net::EventLoop& event_loop, const IpEndpoint& peer, milliseconds idle_timeout)
       : loop(event_loop) {
     sockaddr_in address = ToSockaddr(peer);
-    h2o_socketpool_init_by_address(&pool, reinterpret_cast<sockaddr*>(&address), sizeof(address), 0,
-                                   kMaxIdleConnections);
-    h2o_socketpool_set_timeout(&pool, loop.Handle(),
+    h2o_socketpool_init_by_address(pool.get(), reinterpret_cast<sockaddr*>(&address),
+                                   sizeof(address), 0, kMaxIdleConnections);
+    h2o_socketpool_set_timeout(pool.get(), loop.Handle(),
                                static_cast<std::uint64_t>(idle_timeout.count()));
   }
-  ~ConnectionPool() { h2o_socketpool_dispose(&pool); }
+  ~ConnectionPool() {
+    h2o_socketpool_dispose(pool.get());
+    FreeAfterClosing(loop, std::move(pool));
+  }
   ConnectionPool(const ConnectionPool&) = delete;
   ConnectionPool& operator=(const ConnectionPool&) = delete;
 };
@@ -86,7 +98,7 @@
   net::EventLoop& loop;
   IpEndpoint peer;
   HttpClientOptions options;
-  h2o_timeout_t io_timeout{};
+  std::unique_ptr<h2o_timeout_t> io_timeout = std::make_unique<h2o_timeout_t>();
   h2o_http1client_ctx_t context{};
   std::shared_ptr<ConnectionPool> pool;
   std::set<std::shared_ptr<Call>> calls;
@@ -94,14 +106,16 @@
   Impl(net::EventLoop& event_loop, IpEndpoint peer_endpoint,
        const HttpClientOptions& client_options)
       : loop(event_loop), peer(std::move(peer_endpoint)), options(client_options) {
-    h2o_timeout_init(loop.Handle(), &io_timeout, static_cast<std::uint64_t>(kIoTimeout.count()));
+    h2o_timeout_init(loop.Handle(), io_timeout.get(),
+                     static_cast<std::uint64_t>(kIoTimeout.count()));
     context.loop = loop.Handle();
-    context.io_timeout = &io_timeout;
+    context.io_timeout = io_timeout.get();
     pool = std::make_shared<ConnectionPool>(loop, peer, options.idle_timeout);
   }
   ~Impl() {
     ReleaseLater(std::move(pool));
-    h2o_timeout_dispose(loop.Handle(), &io_timeout);
+    h2o_timeout_dispose(loop.Handle(), io_timeout.get());
+    FreeAfterClosing(loop, std::move(io_timeout));
   }
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
@@ -132,7 +146,7 @@
     m_deadline = m_client->loop.Now() + timeout;
     m_timer.StartOnce(std::min(timeout, m_client->options.connect_timeout));
     if (m_pool != nullptr) {
-      h2o_http1client_connect_with_pool(&m_h2o_client, this, &m_client->context, &m_pool->pool,
+      h2o_http1client_connect_with_pool(&m_h2o_client, this, &m_client->context, m_pool->pool.get(),
                                         OnConnected);
     } else {
       h2o_http1client_connect(&m_h2o_client, this, &m_client->context,
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -49,7 +49,7 @@
     const h2o_socket_t* socket = nullptr;
   };
 
-  /** Holds timers of the loop, so it is freed only after libuv has closed them. */
+  /** Holds timers of the loop, so it must live as long as the loop. */
   struct H2oState {
     h2o_globalconf_t config{};
     h2o_context_t context{};
@@ -60,7 +60,7 @@
   net::EventLoop& loop;
   HttpServerOptions options;
   Handler handler;
-  std::unique_ptr<H2oState> h2o = std::make_unique<H2oState>();
+  std::shared_ptr<H2oState> h2o = std::make_shared<H2oState>();
   h2o_accept_ctx_t accept_context{};
   /** Freed by libuv's close callback. */
   uv_tcp_t* listener = nullptr;
@@ -90,13 +90,8 @@
     accept_context.ctx = &h2o->context;
     accept_context.hosts = config.hosts;
   }
-  ~Impl() {
-    h2o_context_dispose(&h2o->context);
-    // The timers are closed at the end of a round of the loop; the second task runs after that.
-    loop.Post([&event_loop = loop, state = std::shared_ptr<H2oState>(std::move(h2o))] {
-      event_loop.Post([state] { h2o_config_dispose(&state->config); });
-    });
-  }
+  /** h2o_context_dispose() would run the loop from within a callback. */
+  ~Impl() { loop.KeepUntilClosed(std::move(h2o)); }
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
--- a/libs/http/test/test_http.cc
+++ b/libs/http/test/test_http.cc
@@ -77,6 +77,22 @@
   }
 };
 
+TEST_CASE("A client may go while its loop runs on") {
+  // Guards against freeing h2o's timers while libuv still closes them.
+  ServerAndClient pair;
+  pair.handler = [](const std::shared_ptr<HttpExchange>& exchange) {
+    exchange->Respond({200, {}, "x", false});
+  };
+  for (int i = 0; i < 20; ++i) {
+    pair.Call({"GET", "/", {}, ""});
+    pair.client->DiscardIdleConnections();
+    pair.client = std::make_unique<HttpClient>(pair.loop, pair.server.LocalEndpoint(),
+                                               HttpClientOptions{});
+    pair.loop.RunOnce(milliseconds(1));
+  }
+  CHECK(std::holds_alternative<HttpResponse>(pair.Call({"GET", "/", {}, ""})));
+}
+
 TEST_CASE("A client and a server exchange whole messages") {
   ServerAndClient pair;
 
--- a/libs/net/include/quetzalhinge/net/event_loop.h
+++ b/libs/net/include/quetzalhinge/net/event_loop.h
@@ -31,6 +31,12 @@
   /** Runs `task` in a later round of the loop, never from within this call. */
   void Post(std::function<void()> task);
 
+  /**
+   * Keeps `object` until the loop has closed all its handles, for objects of other libraries whose
+   * handles cannot be closed earlier.
+   */
+  void KeepUntilClosed(std::shared_ptr<void> object);
+
   /** Returns the monotonic time now. */
   TimePoint Now() const noexcept { return std::chrono::steady_clock::now(); }
 
--- a/libs/net/src/event_loop.cc
+++ b/libs/net/src/event_loop.cc
@@ -14,10 +14,14 @@
   uv_async_t post_wakeup{};
   uv_timer_t run_limit{};
   std::vector<std::function<void()>> posted;
+  std::vector<std::shared_ptr<void>> kept;
 };
 
 namespace {
 
+/** Bounds the rounds that a destroyed loop runs for tasks that post others. */
+constexpr int kMaxClosingRounds = 16;
+
 void CloseIfOpen(uv_handle_t* handle, void* /*unused*/) {
   if (uv_is_closing(handle) == 0) {
     uv_close(handle, nullptr);
@@ -44,7 +48,8 @@
 
 EventLoop::~EventLoop() {
   // Tasks posted by objects that are gone already free what those objects left to the loop.
-  for (int round = 0; round < 3 && !m_impl->posted.empty(); ++round) {
+  // Such a task may post another one.
+  for (int round = 0; round < kMaxClosingRounds && !m_impl->posted.empty(); ++round) {
     uv_run(&m_impl->loop, UV_RUN_NOWAIT);
   }
   uv_walk(&m_impl->loop, CloseIfOpen, nullptr);
@@ -71,6 +76,10 @@
   uv_async_send(&m_impl->post_wakeup);
 }
 
+void EventLoop::KeepUntilClosed(std::shared_ptr<void> object) {
+  m_impl->kept.push_back(std::move(object));
+}
+
 uv_loop_s* EventLoop::Handle() noexcept { return &m_impl->loop; }
 
 }  // namespace qh::net
