--- a/apps/qh-entry/src/call_task.cc
+++ b/apps/qh-entry/src/call_task.cc
@@ -317,6 +317,8 @@
   http::HttpResponse response;
   response.status = result.response.status;
   response.headers = HeadersForCaller(result.response.headers);
+  // Kept with the response, so that a replay names the request that the worker answered.
+  response.headers.push_back({"x-qh-request-id", m_request_id});
   response.body = result.response.body;
   Answer(std::move(response), Outcome::kRan, "ran");
 }
@@ -414,7 +416,6 @@
   }
   if (outcome == Outcome::kRan) {
     response.headers.push_back({"x-qh-outcome", ToString(Outcome::kRan)});
-    response.headers.push_back({"x-qh-request-id", m_request_id});
   }
   const Duration total = m_context.loop.Now() - m_started;
   m_context.metrics
--- a/libs/http/test/test_http.cc
+++ b/libs/http/test/test_http.cc
@@ -86,8 +86,8 @@
   for (int i = 0; i < 20; ++i) {
     pair.Call({"GET", "/", {}, ""});
     pair.client->DiscardIdleConnections();
-    pair.client = std::make_unique<HttpClient>(pair.loop, pair.server.LocalEndpoint(),
-                                               HttpClientOptions{});
+    pair.client =
+        std::make_unique<HttpClient>(pair.loop, pair.server.LocalEndpoint(), HttpClientOptions{});
     pair.loop.RunOnce(milliseconds(1));
   }
   CHECK(std::holds_alternative<HttpResponse>(pair.Call({"GET", "/", {}, ""})));
--- /dev/null
+++ b/test/system/test_deployment.cc
@@ -0,0 +1,339 @@
+#include "test_deployment.h"
+
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <utility>
+
+namespace qh::test {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr const char* kOperatorToken = "token-of-the-test-operators";
+constexpr milliseconds kStartLimit{60000};
+
+std::string MakeFolder(int subnet) {
+  const std::string folder = std::filesystem::temp_directory_path() / "quetzalhinge-test-XXXXXX";
+  std::string name = folder;
+  if (mkdtemp(name.data()) == nullptr) {
+    throw std::runtime_error("cannot make a folder for subnet " + std::to_string(subnet));
+  }
+  return name;
+}
+
+std::string HeaderOf(const http::HttpHeaders& headers, std::string_view name) {
+  return std::string(http::FindHeader(headers, name).value_or(""));
+}
+
+CallAnswer ToAnswer(http::HttpCallResult result) {
+  CallAnswer answer;
+  if (const auto* failure = std::get_if<http::HttpCallFailure>(&result)) {
+    answer.failure = ToString(failure->error);
+    return answer;
+  }
+  auto& response = std::get<http::HttpResponse>(result);
+  answer.status = response.status;
+  answer.outcome = HeaderOf(response.headers, "x-qh-outcome");
+  answer.code = HeaderOf(response.headers, "x-qh-code");
+  answer.headers = std::move(response.headers);
+  answer.body = std::move(response.body);
+  return answer;
+}
+
+}  // namespace
+
+TestDeployment::TestDeployment(DeploymentOptions options)
+    : m_options(std::move(options)), m_folder(MakeFolder(m_options.subnet)) {
+  WriteSettings();
+}
+
+TestDeployment::~TestDeployment() {
+  m_entries.clear();
+  m_controls.clear();
+  m_workers.reset();
+  m_platform.reset();
+  m_clients.clear();
+  // The logs are kept when QH_KEEP_LOGS is set, to look into a failed test.
+  if (std::getenv("QH_KEEP_LOGS") == nullptr) {
+    std::filesystem::remove_all(m_folder);
+  }
+}
+
+void TestDeployment::StartAndServe(const std::string& customer) {
+  StartPlatform();
+  StartWorkers();
+  for (int vm = 0; vm < m_options.vms; ++vm) {
+    StartControl(vm);
+    StartEntry(vm);
+  }
+  const bool accepted = Until(
+      [&] { return PutContract(0, ContractFor(customer), "setup-" + customer).status == 200; },
+      kStartLimit);
+  const bool serving =
+      accepted && Until(
+                      [&] {
+                        for (int vm = 0; vm < m_options.vms; ++vm) {
+                          const http::HttpRequest probe = MakeCall(
+                              customer, "GET", m_options.services.front().name + "/ready", "");
+                          if (Send(Callers(vm), probe).status != 200) {
+                            return false;
+                          }
+                        }
+                        return true;
+                      },
+                      kStartLimit);
+  // All VMs must also know each other, or questions between them would be answered "unknown".
+  const bool known =
+      serving &&
+      Until(
+          [&] {
+            for (int vm = 0; vm < m_options.vms; ++vm) {
+              const json answer =
+                  GetJson(Callers(vm), "/v1/addresses?service=" + m_options.services.front().name +
+                                           "&customer=" + customer);
+              if (!answer.is_object() || answer["addresses"].size() !=
+                                             static_cast<std::size_t>(std::min(m_options.vms, 8))) {
+                return false;
+              }
+            }
+            return true;
+          },
+          kStartLimit);
+  if (!known) {
+    throw std::runtime_error("the deployment does not serve; logs are in " + m_folder);
+  }
+}
+
+void TestDeployment::StartPlatform() {
+  m_platform = Start("qh-standin-platform", "platform.ini", "platform.log");
+}
+
+void TestDeployment::StartWorkers() {
+  m_workers = Start("qh-standin-worker", "workers.ini", "workers.log");
+}
+
+void TestDeployment::StartEntry(int vm) {
+  const std::string number = std::to_string(vm);
+  m_entries[vm] = Start("qh-entry", "vm" + number + ".ini", "entry" + number + ".log");
+}
+
+void TestDeployment::StartControl(int vm) {
+  const std::string number = std::to_string(vm);
+  m_controls[vm] = Start("qh-control", "vm" + number + ".ini", "control" + number + ".log");
+}
+
+json TestDeployment::ContractFor(const std::string& customer) const {
+  json services = json::array();
+  for (const ServiceSpec& service : m_options.services) {
+    services.push_back(
+        {{"name", service.name}, {"deadline_ms", 5000}, {"idempotent", json::array({"GET /"})}});
+  }
+  return {{"customer", customer},
+          {"limits",
+           {{"requests_per_second", 5000},
+            {"burst", 1000},
+            {"requests_in_progress", 1000},
+            {"retry_share", 0.2},
+            {"max_body_bytes", 65536},
+            {"max_response_bytes", 1048576}}},
+          {"priority", "normal"},
+          {"services", services}};
+}
+
+CallAnswer TestDeployment::PutContract(int vm, const json& contract, const std::string& operation,
+                                       std::optional<int> expect_version) {
+  json body{{"contract", contract}, {"operation", operation}, {"author", "test"}};
+  if (expect_version.has_value()) {
+    body["expect_version"] = *expect_version;
+  }
+  http::HttpRequest request{"PUT",
+                            "/v1/contracts/" + contract["customer"].get<std::string>(),
+                            {{"authorization", std::string("Bearer ") + kOperatorToken}},
+                            body.dump()};
+  return Send(Operators(vm), request);
+}
+
+json TestDeployment::StatusOf(int vm) {
+  const CallAnswer answer =
+      Send(Operators(vm),
+           {"GET", "/v1/status", {{"authorization", std::string("Bearer ") + kOperatorToken}}, ""},
+           milliseconds(2000));
+  return answer.status == 200 ? json::parse(answer.body, nullptr, false) : json();
+}
+
+CallAnswer TestDeployment::Send(const IpEndpoint& to, const http::HttpRequest& request,
+                                milliseconds timeout) {
+  std::optional<CallAnswer> answer;
+  SendLater(
+      to, request, [&](CallAnswer received) { answer = std::move(received); }, timeout);
+  while (!answer.has_value()) {
+    m_loop.RunOnce(milliseconds(100));
+  }
+  return *std::move(answer);
+}
+
+void TestDeployment::SendLater(const IpEndpoint& to, const http::HttpRequest& request,
+                               std::function<void(CallAnswer)> callback, milliseconds timeout) {
+  ClientOf(to).Start(request, timeout,
+                     [callback = std::move(callback)](http::HttpCallResult result) {
+                       callback(ToAnswer(std::move(result)));
+                     });
+}
+
+http::HttpRequest TestDeployment::MakeCall(const std::string& customer, const std::string& method,
+                                           const std::string& service_and_path,
+                                           const std::string& body, const std::string& key) {
+  http::HttpRequest request{
+      method, "/svc/" + service_and_path, {{"x-qh-customer", customer}}, body};
+  if (!key.empty()) {
+    request.headers.push_back({"idempotency-key", key});
+  }
+  return request;
+}
+
+std::string TestDeployment::KeyPrefix(int vm, const std::string& customer,
+                                      const std::string& service) {
+  const json answer =
+      GetJson(Callers(vm), "/v1/addresses?service=" + service + "&customer=" + customer);
+  for (const json& address : answer.value("addresses", json::array())) {
+    if (address["ip"] == VmIp(vm)) {
+      return address["key_prefix"];
+    }
+  }
+  throw std::runtime_error("entry VM " + std::to_string(vm) + " does not name itself");
+}
+
+std::map<std::string, int> TestDeployment::Executions() {
+  return GetJson(WorkerControl(), "/standin/executions")["executions"]
+      .get<std::map<std::string, int>>();
+}
+
+void TestDeployment::SetWorkerFaults(const json& faults) {
+  PostJson(WorkerControl(), "/standin/faults", faults);
+}
+
+void TestDeployment::SetPlatformFaults(const json& faults) {
+  PostJson(Platform(), "/standin/faults", faults);
+}
+
+void TestDeployment::ChangeVmList(const json& change) {
+  PostJson(Platform(), "/standin/vms", change);
+}
+
+json TestDeployment::WorkerStates() {
+  return GetJson(WorkerControl(), "/standin/state")["workers"];
+}
+
+double TestDeployment::EntryMetric(int vm, const std::string& name_and_labels) {
+  std::istringstream text(Send({VmIp(vm), 8001}, {"GET", "/metrics", {}, ""}).body);
+  std::string line;
+  while (std::getline(text, line)) {
+    if (line.starts_with(name_and_labels + " ")) {
+      return std::stod(line.substr(name_and_labels.size() + 1));
+    }
+  }
+  return 0;
+}
+
+bool TestDeployment::Until(const std::function<bool()>& condition, milliseconds limit) {
+  const TimePoint until = m_loop.Now() + limit;
+  while (!condition()) {
+    if (m_loop.Now() >= until) {
+      return false;
+    }
+    RunFor(milliseconds(20));
+  }
+  return true;
+}
+
+void TestDeployment::RunFor(milliseconds duration) {
+  const TimePoint until = m_loop.Now() + duration;
+  while (m_loop.Now() < until) {
+    m_loop.RunOnce(milliseconds(5));
+  }
+}
+
+std::string TestDeployment::Ip(int group, int number) const {
+  return "127." + std::to_string(m_options.subnet) + "." + std::to_string(group) + "." +
+         std::to_string(number);
+}
+
+void TestDeployment::WriteSettings() const {
+  std::ofstream platform(File("platform.ini"));
+  std::ofstream workers(File("workers.ini"));
+  platform << "[platform]\nlisten = " << ToString(Platform()) << "\n";
+  workers << "[process]\ncontrol = " << ToString(WorkerControl()) << "\n";
+  int group = 2;
+  for (const ServiceSpec& service : m_options.services) {
+    for (int i = 0; i < service.workers; ++i) {
+      const std::string name = service.name + "-" + std::to_string(i);
+      const std::string ip = Ip(group, i + 1);
+      workers << "[worker " << name << "]\nservice = " << service.name << "\nlisten = " << ip
+              << ":7000\n";
+      platform << "[vm " << name << "]\nrole = worker\nservice = " << service.name
+               << "\nzone = zone-" << i % 2 << "\nip = " << ip << "\nport = 7000\n";
+    }
+    workers << "[route " << service.name << " /]\nmedian_ms = " << service.median_ms << "\n";
+    ++group;
+  }
+  for (int vm = 0; vm < m_options.vms; ++vm) {
+    platform << "[vm vm-" << vm << "]\nrole = entry\nzone = zone-" << vm % 2
+             << "\nip = " << VmIp(vm)
+             << "\nport = 8000\ngossip_port = 8003\ncontrol_rpc_port = 8004\n"
+                "entry_rpc_port = 8005\n";
+    WriteVmSettings(vm);
+  }
+}
+
+void TestDeployment::WriteVmSettings(int vm) const {
+  std::ofstream file(File("vm" + std::to_string(vm) + ".ini"));
+  const std::string ip = VmIp(vm);
+  file << "[vm]\nname = vm-" << vm << "\nzone = zone-" << vm % 2 << "\nslot = " << vm
+       << "\nvm_count = " << m_options.vms << "\n[addresses]\ncallers = " << ip
+       << ":8000\nentry_admin = " << ip << ":8001\noperators = " << ip << ":8002\ngossip = " << ip
+       << ":8003\ncontrol_rpc = " << ip << ":8004\nentry_rpc = " << ip
+       << ":8005\n[platform]\nendpoint = " << ToString(Platform())
+       << "\n[keys]\ndeployment_key = key-of-the-test-deployment\noperator_token = "
+       << kOperatorToken << "\n[peers]\nseeds = ";
+  for (int other = 0; other < m_options.vms; ++other) {
+    file << (other == 0 ? "" : ", ") << VmIp(other) << ":8003";
+  }
+  file << "\n" << m_options.extra_settings;
+}
+
+std::unique_ptr<ChildProcess> TestDeployment::Start(const std::string& program,
+                                                    const std::string& settings,
+                                                    const std::string& log) const {
+  return std::make_unique<ChildProcess>(
+      std::vector<std::string>{std::string(QH_BINARY_DIR) + "/" + program, "--settings",
+                               File(settings)},
+      File(log));
+}
+
+json TestDeployment::GetJson(const IpEndpoint& from, const std::string& path) {
+  return json::parse(Send(from, {"GET", path, {}, ""}, milliseconds(2000)).body, nullptr, false);
+}
+
+void TestDeployment::PostJson(const IpEndpoint& to, const std::string& path, const json& body) {
+  const CallAnswer answer = Send(to, {"POST", path, {}, body.dump()});
+  if (answer.status != 200) {
+    throw std::runtime_error(path + " answered " + std::to_string(answer.status) + " " +
+                             answer.body + answer.failure);
+  }
+}
+
+http::HttpClient& TestDeployment::ClientOf(const IpEndpoint& peer) {
+  std::unique_ptr<http::HttpClient>& client = m_clients[peer];
+  if (client == nullptr) {
+    client = std::make_unique<http::HttpClient>(m_loop, peer, http::HttpClientOptions{});
+  }
+  return *client;
+}
+
+}  // namespace qh::test
