--- /dev/null
+++ b/apps/qh-control/src/contract_acceptance.cc
@@ -0,0 +1,194 @@
+#include "contract_acceptance.h"
+
+#include <utility>
+
+#include "contract_table_reader.h"
+#include "quetzalhinge/net/timer.h"
+#include "table_keys.h"
+
+namespace qh::control {
+namespace {
+
+using contract::ContractChange;
+using platform::TableRow;
+using platform::WriteCertainty;
+
+constexpr std::chrono::milliseconds kRetryInterval{100};
+
+/** Runs `task` once after `delay`. */
+void RunAfter(net::EventLoop& loop, std::chrono::milliseconds delay, std::function<void()> task) {
+  auto timer = std::make_shared<std::unique_ptr<net::Timer>>();
+  *timer = std::make_unique<net::Timer>(loop, [timer, task = std::move(task)] {
+    // Moved out first: resetting the timer destroys this function and what it holds.
+    const std::function<void()> due = task;
+    const std::unique_ptr<net::Timer> ended = std::move(*timer);
+    due();
+  });
+  (*timer)->StartOnce(delay);
+}
+
+}  // namespace
+
+void ContractAcceptance::Start(net::EventLoop& loop, platform::PlatformClient& client,
+                               ContractCommand command, Callback callback) {
+  std::make_shared<ContractAcceptance>(loop, client, std::move(command), std::move(callback))
+      ->ReadOperation();
+}
+
+ContractAcceptance::ContractAcceptance(net::EventLoop& loop, platform::PlatformClient& client,
+                                       ContractCommand command, Callback callback)
+    : m_loop(loop),
+      m_client(client),
+      m_command(std::move(command)),
+      m_callback(std::move(callback)),
+      m_deadline(loop.Now() + kTimeLimit) {}
+
+void ContractAcceptance::Read(const std::string& key, RowHandler handler) {
+  m_client.ReadRow(key, [self = shared_from_this(), handler](const RowResult& row) {
+    if (IsOk(row)) {
+      (self.get()->*handler)(ValueOf(row));
+    } else {
+      self->OnFailure(ErrorOf(row));
+    }
+  });
+}
+
+void ContractAcceptance::ReadOperation() {
+  Read(OperationKey(m_command.operation_id), &ContractAcceptance::OnOperation);
+}
+
+void ContractAcceptance::OnOperation(const std::optional<TableRow>& row) {
+  if (row.has_value()) {
+    const Result<ContractChange> change = ChangeOfRow(*row);
+    if (!IsOk(change)) {
+      OnFailure(ErrorOf(change));
+    } else if (IsSameChange(ValueOf(change))) {
+      Finish(CommandAccepted{ValueOf(change)});
+    } else {
+      Finish(CommandRefusal::kOperationReused);
+    }
+    return;
+  }
+  if (m_customer_changed) {
+    // No transaction of this command can apply any more: each has the old row as its condition.
+    Finish(CommandConflict{CurrentVersion(), m_current.has_value() ? m_current->author : ""});
+    return;
+  }
+  Read(ContractKey(m_command.customer), &ContractAcceptance::OnCustomer);
+}
+
+void ContractAcceptance::OnCustomer(const std::optional<TableRow>& row) {
+  const bool first_read = !m_base_row_version.has_value();
+  if (!NoteCustomer(row)) {
+    return;
+  }
+  if (m_customer_changed) {
+    // The newer row may be the work of this command's own transaction.
+    ReadOperation();
+    return;
+  }
+  if (first_read && m_command.expect_version.has_value() &&
+      *m_command.expect_version != CurrentVersion()) {
+    Finish(CommandConflict{CurrentVersion(), m_current.has_value() ? m_current->author : ""});
+    return;
+  }
+  if (m_command.contract == nullptr && CurrentVersion() == 0) {
+    Finish(CommandRefusal::kNoContract);
+    return;
+  }
+  Read(kHeadKey, &ContractAcceptance::OnHead);
+}
+
+bool ContractAcceptance::NoteCustomer(const std::optional<TableRow>& row) {
+  if (row.has_value()) {
+    Result<ContractChange> change = ChangeOfRow(*row);
+    if (!IsOk(change)) {
+      OnFailure(ErrorOf(change));
+      return false;
+    }
+    m_current = TakeValue(std::move(change));
+  }
+  const std::uint64_t row_version = row.has_value() ? row->version : 0;
+  m_customer_changed = m_base_row_version.value_or(row_version) != row_version;
+  m_base_row_version = m_base_row_version.value_or(row_version);
+  return true;
+}
+
+void ContractAcceptance::OnHead(const std::optional<TableRow>& row) {
+  const Result<contract::Revision> revision = RevisionOfHead(row);
+  if (!IsOk(revision)) {
+    OnFailure(ErrorOf(revision));
+    return;
+  }
+  Transact(ValueOf(revision), row.has_value() ? row->version : 0);
+}
+
+void ContractAcceptance::Transact(contract::Revision head_revision, std::uint64_t head_version) {
+  ContractChange change;
+  change.revision = head_revision + 1;
+  change.version = m_current.has_value() ? m_current->version + 1 : 1;
+  change.customer = m_command.customer;
+  change.operation_id = m_command.operation_id;
+  change.author = m_command.author;
+  change.accepted_us = UnixNow();
+  change.contract = m_command.contract;
+
+  const nlohmann::json value = contract::ToJson(change);
+  const std::string operation_key = OperationKey(change.operation_id);
+  platform::TableTransaction transaction;
+  transaction.conditions = {{operation_key, 0},
+                            {ContractKey(change.customer), *m_base_row_version},
+                            {kHeadKey, head_version},
+                            {LogKey(change.revision), 0}};
+  transaction.writes = {{kHeadKey, {{"revision", change.revision}}},
+                        {LogKey(change.revision), value},
+                        {ContractKey(change.customer), value},
+                        {operation_key, value},
+                        {HistoryKey(change.customer, change.version), value}};
+  m_client.Transact(transaction, [self = shared_from_this(), change](const auto& result) {
+    self->OnTransaction(result, change);
+  });
+}
+
+void ContractAcceptance::OnTransaction(const platform::TransactionResult& result,
+                                       const ContractChange& change) {
+  if (std::holds_alternative<platform::TransactionApplied>(result)) {
+    Finish(CommandAccepted{change});
+  } else if (const auto* failure = std::get_if<platform::TransactionFailure>(&result)) {
+    m_outcome_unknown = m_outcome_unknown || failure->certainty == WriteCertainty::kUnknown;
+    OnFailure(failure->error);
+  } else if (m_loop.Now() >= m_deadline) {
+    Finish(
+        CommandFailure{{ErrorCode::kExhausted, "transaction", "platform",
+                        "other operators' changes came first each time"},
+                       m_outcome_unknown ? WriteCertainty::kUnknown : WriteCertainty::kNotWritten});
+  } else {
+    // Another change moved the head; if it was of this customer, the next reads show it.
+    ReadOperation();
+  }
+}
+
+void ContractAcceptance::OnFailure(const Error& error) {
+  if (!m_outcome_unknown) {
+    Finish(CommandFailure{error, WriteCertainty::kNotWritten});
+  } else if (m_loop.Now() >= m_deadline) {
+    Finish(CommandFailure{error, WriteCertainty::kUnknown});
+  } else {
+    RunAfter(m_loop, kRetryInterval, [self = shared_from_this()] { self->ReadOperation(); });
+  }
+}
+
+bool ContractAcceptance::IsSameChange(const ContractChange& change) const {
+  const bool same_contract = change.IsRemoval() || m_command.contract == nullptr
+                                 ? change.IsRemoval() && m_command.contract == nullptr
+                                 : *change.contract == *m_command.contract;
+  return same_contract && change.customer == m_command.customer;
+}
+
+std::uint64_t ContractAcceptance::CurrentVersion() const {
+  return m_current.has_value() && !m_current->IsRemoval() ? m_current->version : 0;
+}
+
+void ContractAcceptance::Finish(CommandResult result) { m_callback(std::move(result)); }
+
+}  // namespace qh::control
--- /dev/null
+++ b/apps/qh-control/src/contract_table_reader.cc
@@ -0,0 +1,173 @@
+#include "contract_table_reader.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "table_keys.h"
+
+namespace qh::control {
+namespace {
+
+using contract::ContractChange;
+using contract::ContractSnapshot;
+using contract::Revision;
+using platform::TableRow;
+
+constexpr std::size_t kContractRowsPerRead = 500;
+constexpr std::size_t kHistoryRows = 1000;
+
+Result<std::vector<ContractChange>> ChangesOfRows(const Result<std::vector<TableRow>>& rows) {
+  if (!IsOk(rows)) {
+    return ErrorOf(rows);
+  }
+  std::vector<ContractChange> changes;
+  for (const TableRow& row : ValueOf(rows)) {
+    Result<ContractChange> change = ChangeOfRow(row);
+    if (!IsOk(change)) {
+      return ErrorOf(change);
+    }
+    changes.push_back(TakeValue(std::move(change)));
+  }
+  return changes;
+}
+
+}  // namespace
+
+Result<ContractChange> ChangeOfRow(const TableRow& row) {
+  Result<ContractChange> change = contract::ContractChangeFromJson(row.value);
+  if (!IsOk(change)) {
+    return Error{ErrorCode::kProtocol, "read contract row", row.key, ErrorOf(change).detail};
+  }
+  return change;
+}
+
+Result<Revision> RevisionOfHead(const std::optional<TableRow>& row) {
+  if (!row.has_value()) {
+    return Revision{0};
+  }
+  const auto& value = row->value;
+  if (!value.is_object() || !value.contains("revision") ||
+      !value.at("revision").is_number_unsigned()) {
+    return Error{ErrorCode::kProtocol, "read head", row->key, "no revision in the row"};
+  }
+  return value.at("revision").get<Revision>();
+}
+
+/**
+ * Reads all contracts at one revision although rows change in between: first the head, then all
+ * contract rows, then the log from that head up to the newest change seen in the rows. A change
+ * that a page missed is in that part of the log.
+ */
+class ContractTableReader::SnapshotRead : public std::enable_shared_from_this<SnapshotRead> {
+ public:
+  SnapshotRead(platform::PlatformClient& client, UpdateCallback callback)
+      : m_client(client), m_callback(std::move(callback)) {}
+
+  void Start() {
+    m_client.ReadRow(kHeadKey, [self = shared_from_this()](const auto& row) {
+      const Result<Revision> head =
+          IsOk(row) ? RevisionOfHead(ValueOf(row)) : Result<Revision>(ErrorOf(row));
+      if (!IsOk(head)) {
+        self->m_callback(ErrorOf(head));
+        return;
+      }
+      self->m_log_end = ValueOf(head);
+      self->m_target = ValueOf(head);
+      self->ReadContracts("");
+    });
+  }
+
+ private:
+  void ReadContracts(const std::string& after) {
+    m_client.ReadRows(kContractPrefix, after, kContractRowsPerRead,
+                      [self = shared_from_this()](const auto& rows) {
+                        if (!self->Take(ChangesOfRows(rows))) {
+                          return;
+                        }
+                        if (ValueOf(rows).size() == kContractRowsPerRead) {
+                          self->ReadContracts(ValueOf(rows).back().key);
+                        } else {
+                          self->ReadLog();
+                        }
+                      });
+  }
+
+  void ReadLog() {
+    if (m_log_end >= m_target) {
+      Finish();
+      return;
+    }
+    m_client.ReadRows(kLogPrefix, LogKey(m_log_end), kLogRowsPerRead,
+                      [self = shared_from_this()](const auto& rows) {
+                        if (!self->Take(ChangesOfRows(rows))) {
+                          return;
+                        }
+                        if (ValueOf(rows).empty()) {
+                          self->m_callback(Error{ErrorCode::kProtocol, "read log",
+                                                 LogKey(self->m_log_end), "a row is missing"});
+                          return;
+                        }
+                        self->m_log_end += ValueOf(rows).size();
+                        self->ReadLog();
+                      });
+  }
+
+  /** Keeps the newest change of each customer; reports an error and returns false on one. */
+  bool Take(Result<std::vector<ContractChange>> changes) {
+    if (!IsOk(changes)) {
+      m_callback(ErrorOf(changes));
+      return false;
+    }
+    for (ContractChange& change : TakeValue(std::move(changes))) {
+      m_target = std::max(m_target, change.revision);
+      const auto known = m_changes.find(change.customer);
+      if (known == m_changes.end() || known->second.revision < change.revision) {
+        m_changes.insert_or_assign(change.customer, change);
+      }
+    }
+    return true;
+  }
+
+  void Finish() {
+    ContractSnapshot snapshot;
+    snapshot.revision = m_target;
+    for (const auto& [customer, change] : m_changes) {
+      if (!change.IsRemoval()) {
+        snapshot.contracts.push_back(change);
+      }
+    }
+    m_callback(messages::ContractUpdate{std::move(snapshot), m_target});
+  }
+
+  platform::PlatformClient& m_client;
+  UpdateCallback m_callback;
+  /** The log was read up to here, or did not have to be. */
+  Revision m_log_end = 0;
+  Revision m_target = 0;
+  std::map<std::string, ContractChange> m_changes;
+};
+
+void ContractTableReader::ReadSince(Revision revision, Revision newest, UpdateCallback callback) {
+  if (newest > revision + kLogRowsPerRead) {
+    std::make_shared<SnapshotRead>(m_client, std::move(callback))->Start();
+    return;
+  }
+  m_client.ReadRows(kLogPrefix, LogKey(revision), kLogRowsPerRead,
+                    [newest, callback = std::move(callback)](const auto& rows) {
+                      Result<std::vector<ContractChange>> changes = ChangesOfRows(rows);
+                      if (IsOk(changes)) {
+                        callback(messages::ContractUpdate{TakeValue(std::move(changes)), newest});
+                      } else {
+                        callback(ErrorOf(changes));
+                      }
+                    });
+}
+
+void ContractTableReader::ReadHistory(const std::string& customer, HistoryCallback callback) {
+  m_client.ReadRows(
+      HistoryPrefix(customer), "", kHistoryRows,
+      [callback = std::move(callback)](const auto& rows) { callback(ChangesOfRows(rows)); });
+}
+
+}  // namespace qh::control
--- /dev/null
+++ b/apps/qh-control/src/contract_task.cc
@@ -0,0 +1,160 @@
+#include "contract_task.h"
+
+#include <utility>
+
+#include "quetzalhinge/logging/log.h"
+
+namespace qh::control {
+namespace {
+
+using contract::ApplyOutcome;
+using contract::ContractChange;
+
+contract::ContractBookOptions BookOptions(const vm_settings::EntryVmSettings& settings) {
+  contract::ContractBookOptions options;
+  options.confirmation_limit = settings.confirmation_limit;
+  return options;
+}
+
+}  // namespace
+
+ContractTask::ContractTask(ControlContext& context, PlatformTask& platform, PeerLinks& peers,
+                           ContractObserver& observer)
+    : m_context(context),
+      m_platform(platform),
+      m_peers(peers),
+      m_observer(observer),
+      m_book(BookOptions(context.settings)) {}
+
+void ContractTask::OnHead(contract::Revision newest, TimePoint asked_at) {
+  Confirm(newest, asked_at);
+  FetchIfBehind();
+}
+
+void ContractTask::OnPeer(const PeerRevision& peer) {
+  const bool was_behind = m_book.IsBehind();
+  if (peer.confirms) {
+    Confirm(peer.newest, peer.observed_at);
+  } else {
+    m_book.HearOf(peer.newest);
+  }
+  if (peer.newest > m_book.CurrentRevision()) {
+    m_ahead_peer = peer.control_rpc;
+  }
+  if (m_book.IsBehind() && !was_behind) {
+    m_observer.OnContractsChanged();
+  }
+  FetchIfBehind();
+}
+
+void ContractTask::Confirm(contract::Revision newest, TimePoint observed_at) {
+  m_book.Confirm(newest, observed_at);
+  if (newest > m_stated_revision || (newest == m_stated_revision && observed_at > m_stated_at)) {
+    m_stated_revision = newest;
+    m_stated_at = observed_at;
+  }
+}
+
+void ContractTask::FetchIfBehind() {
+  if (m_fetching || !m_book.IsBehind()) {
+    return;
+  }
+  m_fetching = true;
+  if (m_ahead_peer.has_value()) {
+    FetchFromPeer(*m_ahead_peer);
+    m_ahead_peer.reset();
+  } else {
+    FetchFromPlatform();
+  }
+}
+
+void ContractTask::FetchFromPeer(const IpEndpoint& peer) {
+  m_context.kj_loop.Detach(
+      m_peers.FetchContracts(peer, m_book.CurrentRevision())
+          .then([this](messages::ContractUpdate&& update) { OnFetched(update, true); },
+                [this, peer](kj::Exception&& exception) {
+                  OnFetched(Error{ErrorCode::kUnavailable, "fetch contracts", ToString(peer),
+                                  rpc::DescribeException(exception)},
+                            true);
+                }));
+}
+
+void ContractTask::FetchFromPlatform() {
+  m_platform.ReadContractsSince(
+      m_book.CurrentRevision(), m_book.NewestHeard(),
+      [this](const Result<messages::ContractUpdate>& update) { OnFetched(update, false); });
+}
+
+void ContractTask::OnFetched(const Result<messages::ContractUpdate>& update, bool from_peer) {
+  m_fetching = false;
+  m_context.metrics
+      .CounterOf("qh_control_contract_fetches_total",
+                 from_peer ? "from=\"peer\"" : "from=\"platform\"")
+      .Add();
+  const bool progress = IsOk(update) && Apply(ValueOf(update).changes);
+  if (progress) {
+    m_book.Confirm(m_stated_revision, m_stated_at);
+    m_observer.OnContractsChanged();
+  }
+  // Without progress from the platform, the next head or gossip message starts another fetch.
+  if (progress || from_peer) {
+    FetchIfBehind();
+  }
+}
+
+bool ContractTask::Apply(const contract::ChangesAnswer& changes) {
+  const contract::Revision before = m_book.CurrentRevision();
+  if (const auto* snapshot = std::get_if<contract::ContractSnapshot>(&changes)) {
+    if (m_book.TakeSnapshot(*snapshot)) {
+      m_context.events.Add("contract_snapshot",
+                           {"", "", "revision " + std::to_string(snapshot->revision)});
+    }
+  } else {
+    for (const ContractChange& change : std::get<std::vector<ContractChange>>(changes)) {
+      ApplyOne(change);
+    }
+  }
+  m_context.metrics.GaugeOf("qh_control_revision")
+      .Set(static_cast<double>(m_book.CurrentRevision()));
+  return m_book.CurrentRevision() > before;
+}
+
+void ContractTask::ApplyOne(const ContractChange& change) {
+  switch (m_book.Apply(change)) {
+    case ApplyOutcome::kApplied:
+      m_context.events.Add("contract_applied", {change.customer, "",
+                                                "revision " + std::to_string(change.revision) +
+                                                    ", version " + std::to_string(change.version)});
+      break;
+    case ApplyOutcome::kConflict:
+      logging::LogError("contracts", {ErrorCode::kConflict, "apply change", change.customer,
+                                      "revision " + std::to_string(change.revision) +
+                                          " is invalid or differs from the one known"});
+      break;
+    case ApplyOutcome::kAlreadyKnown:
+    case ApplyOutcome::kGap:
+      break;
+  }
+}
+
+void ContractTask::Accept(ContractCommand command, ContractAcceptance::Callback callback) {
+  m_platform.Accept(std::move(command),
+                    [this, callback = std::move(callback)](const CommandResult& result) {
+                      if (const auto* accepted = std::get_if<CommandAccepted>(&result)) {
+                        NoteAccepted(accepted->change);
+                      }
+                      callback(result);
+                    });
+}
+
+void ContractTask::NoteAccepted(const ContractChange& change) {
+  m_context.events.Add("contract_accepted",
+                       {change.customer, "",
+                        "revision " + std::to_string(change.revision) + " by " + change.author});
+  m_book.HearOf(change.revision);
+  Apply(std::vector<ContractChange>{change});
+  m_observer.OnContractsChanged();
+  FetchIfBehind();
+}
+
+}  // namespace qh::control
--- /dev/null
+++ b/apps/qh-control/src/control_process.cc
@@ -0,0 +1,260 @@
+#include "control_process.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "contract_task.h"
+#include "control_context.h"
+#include "entry_link.h"
+#include "gossip_task.h"
+#include "operator_api.h"
+#include "peer_links.h"
+#include "platform_task.h"
+#include "quetzalhinge/logging/log.h"
+#include "quetzalhinge/net/signal_watcher.h"
+#include "quetzalhinge/net/timer.h"
+#include "resource_gauges.h"
+#include "rpc_gate.h"
+#include "worker_directory.h"
+
+namespace qh::control {
+namespace {
+
+using membership::MemberState;
+
+/** How long after the planned stop the last messages may take to leave. */
+constexpr std::chrono::milliseconds kFarewellTime{100};
+
+}  // namespace
+
+struct ControlProcess::Impl : PlatformObserver,
+                              ContractObserver,
+                              EntryObserver,
+                              GossipObserver,
+                              GateBackend {
+  ControlContext context;
+  PlatformTask platform;
+  PeerLinks peers;
+  ContractTask contracts;
+  EntryLink entry;
+  GossipTask gossip;
+  WorkerDirectory workers;
+  RpcGate gate;
+  OperatorApi operators;
+  net::SignalWatcher signals;
+  net::Timer drain_timer;
+  net::Timer farewell_timer;
+  bool draining = false;
+
+  explicit Impl(const vm_settings::EntryVmSettings& settings)
+      : context(settings),
+        platform(context, *this),
+        peers(context),
+        contracts(context, platform, peers, *this),
+        entry(context, contracts.Book(), *this),
+        gossip(context, *this),
+        workers(context, peers),
+        gate(context, contracts.Book(), entry, peers, *this),
+        operators(context, MakeOperatorBackend()),
+        signals(context.loop, [this](int count) { OnStopSignal(count); }),
+        drain_timer(context.loop, [this] { EndDrain("drain limit reached"); }),
+        farewell_timer(context.loop, [this] { context.loop.Stop(); }) {
+    workers.OnChange([this] { UpdateView(); });
+  }
+
+  OperatorBackend MakeOperatorBackend() {
+    return {contracts,
+            platform,
+            entry,
+            gossip,
+            workers.Workers(),
+            [this] { BeginDrain(); },
+            [this] {
+              platform.UpdateMetrics();
+              UpdateResourceGauges(context.metrics);
+            }};
+  }
+
+  // PlatformObserver
+
+  void OnVmList(const platform::VmList& list) override {
+    std::vector<IpEndpoint> gossip_peers;
+    for (const platform::VmRecord& vm : list.vms) {
+      if (vm.role == platform::VmRole::kEntry && vm.gossip.port != 0) {
+        gossip_peers.push_back(vm.gossip);
+      }
+    }
+    gossip.SetListedPeers(gossip_peers);
+    for (const membership::Notice& notice : workers.TakeList(list)) {
+      PostAndTellEntry(notice);
+    }
+  }
+
+  void OnHead(contract::Revision newest, TimePoint asked_at) override {
+    contracts.OnHead(newest, asked_at);
+    UpdateOwnState();
+  }
+
+  // ContractObserver
+
+  void OnContractsChanged() override {
+    gossip.SetOwnRevision(contracts.Book().NewestHeard());
+    entry.PushContracts();
+  }
+
+  // EntryObserver
+
+  void OnEntryAttached() override {
+    UpdateView();
+    for (const membership::Notice& notice : gossip.Notices()) {
+      entry.PushNotice(notice);
+    }
+    if (draining) {
+      entry.Drain();
+    }
+  }
+
+  void OnEntryChanged() override {
+    if (draining && !entry.IsAttached()) {
+      EndDrain("the entry has ended");
+      return;
+    }
+    // The entry received SIGTERM itself: the whole VM is being stopped.
+    if (entry.Report().draining && !draining) {
+      BeginDrain();
+    }
+    UpdateOwnState();
+  }
+
+  void OnEntryNotice(const membership::Notice& notice) override { gossip.Post(notice); }
+
+  // GossipObserver
+
+  void OnPeerHeard(const membership::MemberRecord& peer, TimePoint observed_at) override {
+    const bool serves = peer.state == MemberState::kLive || peer.state == MemberState::kLeaving;
+    contracts.OnPeer({peer.endpoints.control_rpc, peer.revision, serves, observed_at});
+    workers.OfferPeer(peer.endpoints.control_rpc);
+    UpdateOwnState();
+  }
+
+  void OnFreshNotice(const membership::Notice& notice) override {
+    if (notice.kind != membership::NoticeKind::kContractRevision) {
+      entry.PushNotice(notice);
+    }
+  }
+
+  void OnMembersChanged() override { UpdateView(); }
+
+  // GateBackend
+
+  std::optional<IpEndpoint> ControlRpcOfSlot(std::uint32_t slot) const override {
+    for (const membership::Member* member : gossip.Members().HeardMembers(context.loop.Now())) {
+      if (member->record.slot == slot && member->record.state == MemberState::kLive) {
+        return member->record.endpoints.control_rpc;
+      }
+    }
+    return std::nullopt;
+  }
+
+  const std::optional<std::vector<platform::VmRecord>>& Workers() const override {
+    return workers.Workers();
+  }
+
+  // Steps
+
+  void PostAndTellEntry(const membership::Notice& notice) {
+    if (gossip.Post(notice)) {
+      entry.PushNotice(notice);
+    }
+  }
+
+  void UpdateView() {
+    EntryView view;
+    view.members.push_back(gossip.Members().Self());
+    for (const membership::Member* member : gossip.Members().HeardMembers(context.loop.Now())) {
+      view.members.push_back(member->record);
+    }
+    view.workers = workers.Workers().value_or(std::vector<platform::VmRecord>{});
+    entry.PushView(view);
+  }
+
+  /** Live only while the entry can take calls and the contracts have been confirmed once. */
+  void UpdateOwnState() {
+    MemberState state = MemberState::kStarting;
+    if (draining) {
+      state = MemberState::kLeaving;
+    } else if (entry.IsReady() && contracts.Book().ConfirmedAt().has_value()) {
+      state = MemberState::kLive;
+    }
+    const bool changed = gossip.Members().Self().state != state ||
+                         gossip.Members().Self().entry_incarnation != entry.Incarnation();
+    gossip.SetOwnState(state, entry.Incarnation());
+    if (changed) {
+      UpdateView();
+    }
+  }
+
+  void OnStopSignal(int count) {
+    if (count > 1) {
+      EndDrain("second signal");
+    } else {
+      BeginDrain();
+    }
+  }
+
+  void BeginDrain() {
+    if (draining) {
+      return;
+    }
+    draining = true;
+    logging::LogChange("process", "planned stop", {});
+    UpdateOwnState();
+    if (!entry.IsAttached()) {
+      EndDrain("no entry is attached");
+      return;
+    }
+    entry.Drain();
+    drain_timer.StartOnce(context.settings.drain_limit);
+  }
+
+  void EndDrain(const char* reason) {
+    draining = true;
+    drain_timer.Stop();
+    context.events.Add("stopped", {"", "", reason});
+    logging::LogChange("process", "stopped", {{"reason", reason}});
+    gossip.SetOwnState(MemberState::kGone, "");
+    farewell_timer.StartOnce(kFarewellTime);
+  }
+};
+
+ControlProcess::ControlProcess(const vm_settings::EntryVmSettings& settings)
+    : m_impl(std::make_unique<Impl>(settings)) {}
+ControlProcess::~ControlProcess() = default;
+
+Result<Success> ControlProcess::Start() {
+  for (const Result<Success>& started :
+       {m_impl->gate.Start(), m_impl->operators.Start(), m_impl->gossip.Start()}) {
+    if (!IsOk(started)) {
+      return started;
+    }
+  }
+  m_impl->platform.Start();
+  const vm_settings::EntryVmSettings& settings = m_impl->context.settings;
+  m_impl->context.events.Add("started", {});
+  logging::LogChange("process", "started",
+                     {{"vm", settings.name},
+                      {"operators", ToString(settings.addresses.operators)},
+                      {"control_rpc", ToString(settings.addresses.control_rpc)},
+                      {"gossip", ToString(settings.addresses.gossip)}});
+  return Success{};
+}
+
+settings::ExitCode ControlProcess::Run() {
+  m_impl->context.loop.Run();
+  return settings::ExitCode::kSuccess;
+}
+
+}  // namespace qh::control
--- /dev/null
+++ b/apps/qh-control/src/entry_link.cc
@@ -0,0 +1,290 @@
+#include "entry_link.h"
+
+#include <kj/debug.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "quetzalhinge/logging/log.h"
+#include "quetzalhinge/messages/contract_messages.h"
+#include "quetzalhinge/messages/member_messages.h"
+#include "quetzalhinge/net/timer.h"
+#include "quetzalhinge/rpc/time_limit.h"
+#include "worker_messages.h"
+
+namespace qh::control {
+namespace {
+
+using rpc::wire::EntryAgent;
+using std::chrono::milliseconds;
+
+/** Confirmations go at least every 500 ms; half of that leaves room for a busy machine. */
+constexpr milliseconds kConfirmInterval{250};
+
+/** An entry that answers nothing for this long is not reported as live. */
+constexpr milliseconds kSilentAfter{2000};
+
+constexpr milliseconds kTimelineLimit{1000};
+
+/** Longest wait for a loan: a borrower counts the loan from when it asked, so later is useless. */
+constexpr milliseconds kLendLimit{500};
+
+membership::MemberRecord WithoutNumbers(membership::MemberRecord record) {
+  record.heartbeat = 0;
+  record.revision = 0;
+  return record;
+}
+
+bool IsSameView(const EntryView& a, const EntryView& b) {
+  return a.workers == b.workers &&
+         std::equal(a.members.begin(), a.members.end(), b.members.begin(), b.members.end(),
+                    [](const auto& left, const auto& right) {
+                      return WithoutNumbers(left) == WithoutNumbers(right);
+                    });
+}
+
+void WriteView(const EntryView& view, rpc::wire::View::Builder message) {
+  auto members = message.initMembers(static_cast<unsigned>(view.members.size()));
+  for (unsigned i = 0; i < members.size(); ++i) {
+    messages::WriteMember(view.members[i], members[i]);
+  }
+  WriteWorkers(view.workers, message.initWorkers(static_cast<unsigned>(view.workers.size())));
+}
+
+}  // namespace
+
+struct EntryLink::Impl {
+  ControlContext& context;
+  const contract::ContractBook& book;
+  EntryObserver& observer;
+  net::Timer confirm_timer;
+  std::optional<EntryAgent::Client> agent;
+  std::uint64_t session = 0;
+  std::uint64_t incarnation = 0;
+  contract::Revision entry_revision = 0;
+  EntryReport report;
+  EntryView view;
+  TimePoint answered_at{};
+  bool pushing = false;
+  bool confirming = false;
+  bool was_ready = false;
+  metrics::Counter& sent;
+  metrics::Counter& received;
+  metrics::Counter& contract_bytes;
+
+  Impl(ControlContext& process_context, const contract::ContractBook& contract_book,
+       EntryObserver& entry_observer)
+      : context(process_context),
+        book(contract_book),
+        observer(entry_observer),
+        confirm_timer(context.loop, [this] { OnConfirmTimer(); }),
+        sent(context.metrics.CounterOf("qh_control_messages_total",
+                                       "kind=\"entry\",direction=\"sent\"")),
+        received(context.metrics.CounterOf("qh_control_messages_total",
+                                           "kind=\"entry\",direction=\"received\"")),
+        contract_bytes(context.metrics.CounterOf("qh_control_bytes_total",
+                                                 "kind=\"entry\",direction=\"sent\"")) {}
+
+  /**
+   * Sends a request of the current session. `on_answer` runs only while that session lasts; a
+   * failed call is not repeated here, because the session ends with its connection.
+   */
+  template <typename Request, typename OnAnswer>
+  void Send(Request&& request, OnAnswer on_answer) {
+    sent.Add();
+    contract_bytes.Add(request.totalSize().wordCount * sizeof(capnp::word));
+    context.kj_loop.Detach(request.send().then(
+        [this, number = session, on_answer](auto&& response) {
+          if (number == session) {
+            received.Add();
+            answered_at = context.loop.Now();
+            on_answer(response);
+          }
+        },
+        [this, number = session](kj::Exception&& exception) {
+          if (number == session) {
+            OnCallFailed(exception);
+          }
+        }));
+  }
+
+  void OnCallFailed(const kj::Exception& exception) {
+    pushing = false;
+    confirming = false;
+    context.metrics.CounterOf("qh_control_entry_failures_total").Add();
+    if (exception.getType() != kj::Exception::Type::DISCONNECTED) {
+      logging::LogError("entry", {ErrorCode::kProtocol, "call entry", context.settings.name,
+                                  rpc::DescribeException(exception)});
+    }
+  }
+
+  bool IsReady() const {
+    return agent.has_value() && report.ready && !report.draining &&
+           context.loop.Now() - answered_at <= kSilentAfter;
+  }
+
+  void OnConfirmTimer() {
+    PushContracts();
+    Confirm();
+    if (IsReady() != was_ready) {
+      was_ready = IsReady();
+      observer.OnEntryChanged();
+    }
+  }
+
+  void Confirm() {
+    if (!agent.has_value() || confirming || !book.ConfirmedAt().has_value()) {
+      return;
+    }
+    confirming = true;
+    auto request = agent->confirmRequest();
+    request.setRevision(book.CurrentRevision());
+    const auto age = std::max<std::int64_t>(0, ToMillis(context.loop.Now() - *book.ConfirmedAt()));
+    request.setAgeMillis(static_cast<std::uint32_t>(age));
+    Send(kj::mv(request), [this](auto&) { confirming = false; });
+  }
+
+  void PushContracts() {
+    if (!agent.has_value() || pushing || entry_revision >= book.CurrentRevision()) {
+      return;
+    }
+    pushing = true;
+    auto request = agent->applyContractsRequest();
+    messages::WriteContractUpdate({book.ChangesSince(entry_revision), book.CurrentRevision()},
+                                  request.initChanges());
+    Send(kj::mv(request), [this](auto& response) {
+      pushing = false;
+      const bool progress = response.getRevision() > entry_revision;
+      entry_revision = response.getRevision();
+      if (progress) {
+        PushContracts();
+      }
+    });
+  }
+};
+
+EntryLink::EntryLink(ControlContext& context, const contract::ContractBook& book,
+                     EntryObserver& observer)
+    : m_impl(std::make_unique<Impl>(context, book, observer)) {
+  m_impl->confirm_timer.StartRepeating(kConfirmInterval);
+}
+EntryLink::~EntryLink() = default;
+
+std::uint64_t EntryLink::Attach(std::uint64_t incarnation, EntryAgent::Client agent) {
+  m_impl->agent = kj::mv(agent);
+  ++m_impl->session;
+  m_impl->incarnation = incarnation;
+  m_impl->entry_revision = 0;
+  m_impl->report = {};
+  m_impl->view = {};
+  m_impl->pushing = false;
+  m_impl->confirming = false;
+  m_impl->answered_at = m_impl->context.loop.Now();
+  m_impl->context.events.Add("entry_attached", {"", "", Incarnation()});
+  logging::LogChange("entry", "attached", {{"incarnation", Incarnation()}});
+  m_impl->PushContracts();
+  m_impl->Confirm();
+  m_impl->observer.OnEntryAttached();
+  m_impl->observer.OnEntryChanged();
+  return m_impl->session;
+}
+
+void EntryLink::Detach(std::uint64_t session) {
+  if (session != m_impl->session || !IsAttached()) {
+    return;
+  }
+  m_impl->context.events.Add("entry_detached", {"", "", Incarnation()});
+  logging::LogChange("entry", "detached", {{"incarnation", Incarnation()}});
+  m_impl->agent.reset();
+  m_impl->incarnation = 0;
+  m_impl->entry_revision = 0;
+  m_impl->report = {};
+  m_impl->was_ready = false;
+  m_impl->observer.OnEntryChanged();
+}
+
+void EntryLink::TakeReport(std::uint64_t session, rpc::wire::EntryStatus::Reader status) {
+  if (session != m_impl->session) {
+    return;
+  }
+  m_impl->received.Add();
+  m_impl->answered_at = m_impl->context.loop.Now();
+  m_impl->report = {status.getInProgress(), status.getReady(), status.getDraining()};
+  m_impl->was_ready = m_impl->IsReady();
+  m_impl->observer.OnEntryChanged();
+}
+
+void EntryLink::TakeNotice(rpc::wire::Notice::Reader notice) {
+  m_impl->received.Add();
+  const Result<membership::Notice> read = messages::ReadNotice(notice);
+  if (IsOk(read)) {
+    m_impl->observer.OnEntryNotice(ValueOf(read));
+  }
+}
+
+void EntryLink::PushContracts() { m_impl->PushContracts(); }
+
+void EntryLink::PushView(const EntryView& view) {
+  if (!IsAttached() || IsSameView(view, m_impl->view)) {
+    return;
+  }
+  m_impl->view = view;
+  auto request = m_impl->agent->applyViewRequest();
+  WriteView(view, request.initView());
+  m_impl->Send(kj::mv(request), [](auto&) {});
+}
+
+void EntryLink::PushNotice(const membership::Notice& notice) {
+  if (!IsAttached()) {
+    return;
+  }
+  auto request = m_impl->agent->applyNoticeRequest();
+  messages::WriteNotice(notice, request.initNotice());
+  m_impl->Send(kj::mv(request), [](auto&) {});
+}
+
+void EntryLink::Drain() {
+  if (IsAttached()) {
+    m_impl->Send(m_impl->agent->drainRequest(), [](auto&) {});
+  }
+}
+
+kj::Promise<capnp::Response<EntryAgent::LendResults>> EntryLink::Lend(
+    capnp::Text::Reader customer, rpc::wire::BorrowRequest::Reader request) {
+  if (!IsAttached()) {
+    return KJ_EXCEPTION(DISCONNECTED, "no entry is attached");
+  }
+  auto call = m_impl->agent->lendRequest();
+  call.setCustomer(customer);
+  call.setRequest(request);
+  kj::Promise<capnp::Response<EntryAgent::LendResults>> answer = call.send();
+  return rpc::WithTimeLimit(m_impl->context.loop, kLendLimit, kj::mv(answer));
+}
+
+kj::Promise<kj::String> EntryLink::Timeline(const std::string& filter_json) {
+  if (!IsAttached()) {
+    return kj::str("[]");
+  }
+  auto call = m_impl->agent->timelineRequest();
+  call.setFilterJson(filter_json);
+  kj::Promise<kj::String> answer =
+      call.send().then([](auto&& response) { return kj::str(response.getEventsJson()); });
+  return rpc::WithTimeLimit(m_impl->context.loop, kTimelineLimit, kj::mv(answer))
+      .then([](kj::String&& events) { return kj::mv(events); },
+            [](kj::Exception&&) { return kj::str("[]"); });
+}
+
+bool EntryLink::IsAttached() const noexcept { return m_impl->agent.has_value(); }
+
+bool EntryLink::IsReady() const noexcept { return m_impl->IsReady(); }
+
+const EntryReport& EntryLink::Report() const noexcept { return m_impl->report; }
+
+std::string EntryLink::Incarnation() const {
+  return m_impl->incarnation == 0 ? "" : ToHex(m_impl->incarnation);
+}
+
+contract::Revision EntryLink::EntryRevision() const noexcept { return m_impl->entry_revision; }
+
+}  // namespace qh::control
--- /dev/null
+++ b/apps/qh-control/src/event_log.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "quetzalhinge/timeline/event_ring.h"
+#include "quetzalhinge/timeline/hybrid_clock.h"
+
+namespace qh::control {
+
+/** What an event of this process is about; empty fields do not apply. */
+struct EventDetails {
+  std::string customer;
+  std::string worker;
+  std::string detail;
+};
+
+/** The events of this process, stamped. */
+class EventLog {
+ public:
+  EventLog(std::string vm, std::size_t capacity);
+
+  /** Adds an event that happens now. */
+  void Add(const std::string& kind, EventDetails details);
+
+  /** Returns the kept events that match. */
+  std::vector<timeline::Event> Select(const timeline::EventFilter& filter) const;
+
+ private:
+  std::string m_vm;
+  timeline::HybridClock m_clock;
+  timeline::EventRing m_ring;
+};
+
+}  // namespace qh::control
--- /dev/null
+++ b/apps/qh-control/src/gossip_codec.cc
@@ -0,0 +1,158 @@
+#include "gossip_codec.h"
+
+#include <arpa/inet.h>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <cstring>
+#include <vector>
+
+#include "gossip.capnp.h"
+#include "quetzalhinge/messages/member_messages.h"
+
+namespace qh::control {
+namespace {
+
+using membership::GossipMessage;
+using membership::MemberRecord;
+using membership::Notice;
+using messages::ReadText;
+using rpc::wire::GossipDatagram;
+using rpc::wire::GossipNotice;
+using rpc::wire::GossipRecord;
+
+/** More than any datagram; bounds what a decoder may follow. */
+constexpr std::size_t kMaxWords = 65536 / sizeof(capnp::word);
+
+std::uint32_t AddressNumber(const IpEndpoint& endpoint) {
+  return endpoint.ip.empty() ? 0 : ntohl(ToSockaddr(endpoint).sin_addr.s_addr);
+}
+
+IpEndpoint EndpointOf(std::uint32_t address, std::uint16_t port) {
+  if (address == 0 && port == 0) {
+    return {};
+  }
+  sockaddr_in socket_address{};
+  socket_address.sin_family = AF_INET;
+  socket_address.sin_addr.s_addr = htonl(address);
+  socket_address.sin_port = htons(port);
+  return FromSockaddr(socket_address);
+}
+
+void WriteRecord(const MemberRecord& record, GossipRecord::Builder out) {
+  out.setVm(record.vm);
+  out.setZone(record.zone);
+  out.setEntryIncarnation(record.entry_incarnation);
+  out.setGeneration(record.generation);
+  out.setRevision(record.revision);
+  out.setVersion(record.version);
+  out.setHeartbeat(record.heartbeat);
+  out.setSlot(record.slot);
+  out.setState(static_cast<std::uint8_t>(record.state));
+  out.setCallsAddress(AddressNumber(record.endpoints.calls));
+  out.setCallsPort(record.endpoints.calls.port);
+  out.setEntryRpcAddress(AddressNumber(record.endpoints.entry_rpc));
+  out.setEntryRpcPort(record.endpoints.entry_rpc.port);
+  out.setControlRpcAddress(AddressNumber(record.endpoints.control_rpc));
+  out.setControlRpcPort(record.endpoints.control_rpc.port);
+  out.setGossipAddress(AddressNumber(record.endpoints.gossip));
+  out.setGossipPort(record.endpoints.gossip.port);
+  out.setOperatorsAddress(AddressNumber(record.endpoints.operators));
+  out.setOperatorsPort(record.endpoints.operators.port);
+}
+
+MemberRecord ReadRecord(GossipRecord::Reader in) {
+  MemberRecord record;
+  record.vm = ReadText(in.getVm());
+  record.zone = ReadText(in.getZone());
+  record.entry_incarnation = ReadText(in.getEntryIncarnation());
+  record.generation = in.getGeneration();
+  record.revision = in.getRevision();
+  record.version = in.getVersion();
+  record.heartbeat = in.getHeartbeat();
+  record.slot = in.getSlot();
+  record.state = static_cast<membership::MemberState>(in.getState());
+  record.endpoints.calls = EndpointOf(in.getCallsAddress(), in.getCallsPort());
+  record.endpoints.entry_rpc = EndpointOf(in.getEntryRpcAddress(), in.getEntryRpcPort());
+  record.endpoints.control_rpc = EndpointOf(in.getControlRpcAddress(), in.getControlRpcPort());
+  record.endpoints.gossip = EndpointOf(in.getGossipAddress(), in.getGossipPort());
+  record.endpoints.operators = EndpointOf(in.getOperatorsAddress(), in.getOperatorsPort());
+  return record;
+}
+
+void WriteNotice(const Notice& notice, GossipNotice::Builder out) {
+  out.setKind(static_cast<std::uint8_t>(notice.kind));
+  out.setSubject(notice.subject);
+  out.setDetail(notice.detail);
+  out.setValue(notice.value);
+  out.setStampMicros(notice.stamp_us);
+  out.setLifetimeMillis(static_cast<std::uint32_t>(notice.lifetime.count()));
+}
+
+Notice ReadNotice(GossipNotice::Reader in) {
+  return {static_cast<membership::NoticeKind>(in.getKind()),
+          ReadText(in.getSubject()),
+          ReadText(in.getDetail()),
+          in.getValue(),
+          in.getStampMicros(),
+          std::chrono::milliseconds(in.getLifetimeMillis())};
+}
+
+GossipMessage ReadMessage(GossipDatagram::Reader in) {
+  GossipMessage message;
+  message.sender = ReadRecord(in.getSender());
+  for (const auto& notice : in.getNotices()) {
+    message.notices.push_back(ReadNotice(notice));
+  }
+  for (const auto& digest : in.getHeartbeats()) {
+    message.heartbeats.push_back(
+        {digest.getSlot(), digest.getGenerationTag(), digest.getHeartbeat()});
+  }
+  for (const auto& record : in.getRecords()) {
+    message.records.push_back(ReadRecord(record));
+  }
+  return message;
+}
+
+}  // namespace
+
+std::string EncodeGossip(const GossipMessage& message) {
+  capnp::MallocMessageBuilder builder;
+  auto root = builder.initRoot<GossipDatagram>();
+  WriteRecord(message.sender, root.initSender());
+  auto notices = root.initNotices(static_cast<unsigned>(message.notices.size()));
+  for (unsigned i = 0; i < notices.size(); ++i) {
+    WriteNotice(message.notices[i], notices[i]);
+  }
+  auto heartbeats = root.initHeartbeats(static_cast<unsigned>(message.heartbeats.size()));
+  for (unsigned i = 0; i < heartbeats.size(); ++i) {
+    heartbeats[i].setSlot(message.heartbeats[i].slot);
+    heartbeats[i].setGenerationTag(message.heartbeats[i].generation_tag);
+    heartbeats[i].setHeartbeat(message.heartbeats[i].heartbeat);
+  }
+  auto records = root.initRecords(static_cast<unsigned>(message.records.size()));
+  for (unsigned i = 0; i < records.size(); ++i) {
+    WriteRecord(message.records[i], records[i]);
+  }
+  const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
+  return {words.asChars().begin(), words.asChars().size()};
+}
+
+Result<GossipMessage> DecodeGossip(std::string_view bytes) {
+  // The datagram's buffer need not be aligned as Cap'n Proto wants it.
+  std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word));
+  std::memcpy(words.data(), bytes.data(), words.size() * sizeof(capnp::word));
+  GossipMessage message;
+  const auto failure = kj::runCatchingExceptions([&] {
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMaxWords;
+    capnp::FlatArrayMessageReader reader(kj::arrayPtr(words.data(), words.size()), options);
+    message = ReadMessage(reader.getRoot<GossipDatagram>());
+  });
+  KJ_IF_MAYBE (exception, failure) {
+    return Error{ErrorCode::kProtocol, "read gossip", "", exception->getDescription().cStr()};
+  }
+  return message;
+}
+
+}  // namespace qh::control
--- /dev/null
+++ b/apps/qh-control/src/gossip_task.cc
@@ -0,0 +1,235 @@
+#include "gossip_task.h"
+
+#include <set>
+#include <utility>
+
+#include "gossip_codec.h"
+#include "quetzalhinge/auth/message_authenticator.h"
+#include "quetzalhinge/membership/notice_board.h"
+#include "quetzalhinge/net/timer.h"
+#include "quetzalhinge/net/udp_socket.h"
+
+namespace qh::control {
+namespace {
+
+using membership::GossipMessage;
+using membership::MemberRecord;
+using membership::Notice;
+using membership::PlannedMessage;
+
+/** A revision is news for as long as a message may be lost or delayed; heartbeats carry it too. */
+constexpr std::chrono::milliseconds kRevisionNoticeLifetime{10000};
+
+MemberRecord OwnRecord(const vm_settings::EntryVmSettings& settings) {
+  MemberRecord record;
+  record.vm = settings.name;
+  record.zone = settings.zone;
+  record.slot = static_cast<std::uint16_t>(settings.slot);
+  record.generation = static_cast<std::uint64_t>(UnixNow());
+  record.endpoints.calls = settings.addresses.callers;
+  record.endpoints.entry_rpc = settings.addresses.entry_rpc;
+  record.endpoints.control_rpc = settings.addresses.control_rpc;
+  record.endpoints.gossip = settings.addresses.gossip;
+  record.endpoints.operators = settings.addresses.operators;
+  return record;
+}
+
+membership::MemberTableOptions TableOptions(const vm_settings::EntryVmSettings& settings) {
+  membership::MemberTableOptions options;
+  options.vm_count = static_cast<std::size_t>(settings.vm_count);
+  return options;
+}
+
+membership::GossipOptions PlannerOptions(const vm_settings::EntryVmSettings& settings) {
+  membership::GossipOptions options;
+  options.envelope_bytes = auth::MessageAuthenticator::OverheadBytes(settings.name.size());
+  return options;
+}
+
+}  // namespace
+
+struct GossipTask::Impl {
+  ControlContext& context;
+  GossipObserver& observer;
+  membership::GossipOptions options;
+  membership::GossipPlanner planner;
+  membership::MemberTable table;
+  membership::NoticeBoard board;
+  auth::MessageAuthenticator authenticator;
+  net::UdpSocket socket;
+  net::Timer timer;
+  std::set<std::string> heard;
+
+  Impl(ControlContext& process_context, GossipObserver& gossip_observer)
+      : context(process_context),
+        observer(gossip_observer),
+        options(PlannerOptions(context.settings)),
+        planner(options),
+        table(OwnRecord(context.settings), TableOptions(context.settings)),
+        // The settings have refused a key that is too short.
+        authenticator(
+            TakeValue(auth::MessageAuthenticator::Create({context.settings.deployment_key}))),
+        socket(context.loop, [this](const IpEndpoint&, std::string_view data) { Receive(data); }),
+        timer(context.loop, [this] { RunRound(); }) {
+    table.SetSeeds(context.settings.seeds);
+  }
+
+  metrics::Counter& CounterOf(const char* name, const char* direction) {
+    return context.metrics.CounterOf(
+        name, "kind=\"gossip\",direction=\"" + std::string(direction) + "\"");
+  }
+
+  void RunRound() {
+    board.Expire(UnixNow());
+    const auto planned =
+        planner.PlanRound(table, board, context.loop.Now(), UnixNow(), context.random);
+    if (planned.has_value()) {
+      Send(*planned);
+    }
+    NoteHeard();
+  }
+
+  /** Reports members that came or fell silent since the last round. */
+  void NoteHeard() {
+    std::set<std::string> now_heard;
+    for (const membership::Member* member : table.HeardMembers(context.loop.Now())) {
+      now_heard.insert(member->record.vm);
+    }
+    if (now_heard != heard) {
+      for (const std::string& vm : now_heard) {
+        if (heard.count(vm) == 0) {
+          context.events.Add("member_heard", {"", "", vm});
+        }
+      }
+      for (const std::string& vm : heard) {
+        if (now_heard.count(vm) == 0) {
+          context.events.Add("member_silent", {"", "", vm});
+        }
+      }
+      heard = std::move(now_heard);
+      context.metrics.GaugeOf("qh_control_members_heard").Set(static_cast<double>(heard.size()));
+      observer.OnMembersChanged();
+    }
+  }
+
+  void Send(const PlannedMessage& planned) {
+    const std::string datagram =
+        authenticator.Seal(context.settings.name, EncodeGossip(planned.message), UnixNow());
+    CounterOf("qh_control_messages_total", "sent").Add();
+    CounterOf("qh_control_bytes_total", "sent").Add(datagram.size());
+    if (datagram.size() > options.max_datagram_bytes) {
+      context.metrics.CounterOf("qh_control_gossip_oversized_total").Add();
+    }
+    if (!socket.Send(planned.to, datagram)) {
+      context.metrics.CounterOf("qh_control_gossip_send_failures_total").Add();
+    }
+  }
+
+  void Forward(const std::vector<Notice>& notices) {
+    for (const PlannedMessage& planned :
+         planner.PlanForward(table, notices, context.loop.Now(), context.random)) {
+      Send(planned);
+    }
+  }
+
+  void Receive(std::string_view data) {
+    CounterOf("qh_control_messages_total", "received").Add();
+    CounterOf("qh_control_bytes_total", "received").Add(data.size());
+    const auto opened = authenticator.Open(data, UnixNow());
+    if (!IsOk(opened)) {
+      Refuse(ErrorOf(opened).code);
+      return;
+    }
+    const auto message = DecodeGossip(ValueOf(opened).payload);
+    if (!IsOk(message)) {
+      Refuse(ErrorOf(message).code);
+      return;
+    }
+    Take(ValueOf(message), context.loop.Now() - ValueOf(opened).age);
+  }
+
+  void Refuse(ErrorCode code) {
+    context.metrics
+        .CounterOf("qh_control_gossip_refused_total",
+                   "reason=\"" + std::string(ToString(code)) + "\"")
+        .Add();
+  }
+
+  void Take(const GossipMessage& message, TimePoint observed_at) {
+    const auto receipt = planner.Receive(message, table, board, context.loop.Now(), UnixNow());
+    observer.OnPeerHeard(message.sender, observed_at);
+    if (!receipt.fresh_notices.empty()) {
+      Forward(receipt.fresh_notices);
+      for (const Notice& notice : receipt.fresh_notices) {
+        observer.OnFreshNotice(notice);
+      }
+    }
+    NoteHeard();
+    if (!receipt.changed_members.empty()) {
+      observer.OnMembersChanged();
+    }
+  }
+};
+
+GossipTask::GossipTask(ControlContext& context, GossipObserver& observer)
+    : m_impl(std::make_unique<Impl>(context, observer)) {}
+GossipTask::~GossipTask() = default;
+
+Result<Success> GossipTask::Start() {
+  const auto bound = m_impl->socket.Bind(m_impl->context.settings.addresses.gossip);
+  if (IsOk(bound)) {
+    m_impl->timer.StartRepeating(m_impl->options.interval);
+    m_impl->RunRound();
+  }
+  return bound;
+}
+
+void GossipTask::SetListedPeers(const std::vector<IpEndpoint>& peers) {
+  std::vector<IpEndpoint> seeds = m_impl->context.settings.seeds;
+  seeds.insert(seeds.end(), peers.begin(), peers.end());
+  m_impl->table.SetSeeds(seeds);
+}
+
+void GossipTask::SetOwnState(membership::MemberState state, const std::string& entry_incarnation) {
+  const MemberRecord& self = m_impl->table.Self();
+  if (self.state == state && self.entry_incarnation == entry_incarnation) {
+    return;
+  }
+  m_impl->table.SetOwnState(state, entry_incarnation);
+  m_impl->context.events.Add("own_state", {"", "", membership::kMemberStateNames.NameOf(state)});
+  m_impl->Forward({});
+}
+
+void GossipTask::SetOwnRevision(std::uint64_t revision) {
+  if (revision <= m_impl->table.Self().revision) {
+    return;
+  }
+  m_impl->table.SetOwnRevision(revision);
+  Notice notice;
+  notice.kind = membership::NoticeKind::kContractRevision;
+  notice.value = revision;
+  notice.stamp_us = UnixNow();
+  notice.lifetime = kRevisionNoticeLifetime;
+  Post(notice);
+}
+
+bool GossipTask::Post(const Notice& notice) {
+  const bool fresh = m_impl->board.Post(notice, UnixNow(), m_impl->table.SpreadSends()) ==
+                     membership::NoticeOutcome::kNew;
+  if (fresh) {
+    m_impl->Forward({notice});
+  }
+  return fresh;
+}
+
+const membership::MemberTable& GossipTask::Members() const noexcept { return m_impl->table; }
+
+std::vector<Notice> GossipTask::Notices() const {
+  std::vector<Notice> notices;
+  for (const membership::PostedNotice* posted : m_impl->board.Notices()) {
+    notices.push_back(posted->notice);
+  }
+  return notices;
+}
+
+}  // namespace qh::control
--- /dev/null
+++ b/apps/qh-control/src/rpc_gate.cc
@@ -0,0 +1,206 @@
+#include "rpc_gate.h"
+
+#include <kj/debug.h>
+
+#include <string>
+#include <utility>
+
+#include "quetzalhinge/messages/contract_messages.h"
+#include "quetzalhinge/messages/member_messages.h"
+#include "quetzalhinge/rpc/rpc_server.h"
+#include "quetzalhinge/rpc/session_code.h"
+#include "worker_messages.h"
+
+namespace qh::control {
+namespace {
+
+using rpc::wire::ControlGate;
+using rpc::wire::ControlPeer;
+using rpc::wire::EntryControl;
+
+/** What the services of all connections use. */
+struct ServiceContext {
+  ControlContext& context;
+  const contract::ContractBook& book;
+  EntryLink& entry;
+  PeerLinks& peers;
+  const GateBackend& backend;
+  metrics::Counter& peer_received;
+  metrics::Counter& peer_sent_bytes;
+};
+
+// The names of the services' functions are those of the schema.
+// NOLINTBEGIN(readability-identifier-naming)
+
+/** The session of one qh-entry; ends with its connection. */
+class EntryControlService : public EntryControl::Server {
+ public:
+  explicit EntryControlService(ServiceContext& services) : m_services(services) {}
+  ~EntryControlService() { m_services.entry.Detach(m_session); }
+
+  kj::Promise<void> attach(AttachContext call) override {
+    const auto params = call.getParams();
+    m_session = m_services.entry.Attach(params.getHello().getIncarnation(), params.getAgent());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> reportStatus(ReportStatusContext call) override {
+    m_services.entry.TakeReport(m_session, call.getParams().getStatus());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> publishNotice(PublishNoticeContext call) override {
+    m_services.entry.TakeNotice(call.getParams().getNotice());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> borrow(BorrowContext call) override {
+    const auto params = call.getParams();
+    const auto lender = m_services.backend.ControlRpcOfSlot(params.getRequest().getLenderSlot());
+    if (!lender.has_value()) {
+      return kj::READY_NOW;  // Nothing is granted: the results' defaults say so.
+    }
+    return m_services.peers.Borrow(*lender, params.getCustomer(), params.getRequest())
+        .then(
+            [call](auto&& answer) mutable {
+              call.getResults().setGranted(answer.getGranted());
+              call.getResults().setGrant(answer.getGrant());
+            },
+            [](kj::Exception&&) {});
+  }
+
+ private:
+  ServiceContext& m_services;
+  std::uint64_t m_session = 0;
+};
+
+/** Answers the qh-control of another VM. */
+class ControlPeerService : public ControlPeer::Server {
+ public:
+  explicit ControlPeerService(ServiceContext& services) : m_services(services) {}
+
+  kj::Promise<void> changesSince(ChangesSinceContext call) override {
+    m_services.peer_received.Add();
+    const contract::Revision revision = call.getParams().getRevision();
+    auto results = call.getResults();
+    messages::WriteContractUpdate(
+        {m_services.book.ChangesSince(revision), m_services.book.CurrentRevision()},
+        results.initChanges());
+    m_services.peer_sent_bytes.Add(results.totalSize().wordCount * sizeof(capnp::word));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> borrow(BorrowContext call) override {
+    m_services.peer_received.Add();
+    const auto params = call.getParams();
+    return m_services.entry.Lend(params.getCustomer(), params.getRequest())
+        .then(
+            [call](auto&& answer) mutable {
+              call.getResults().setGranted(answer.getGranted());
+              call.getResults().setGrant(answer.getGrant());
+            },
+            [](kj::Exception&&) {});
+  }
+
+  kj::Promise<void> workers(WorkersContext call) override {
+    m_services.peer_received.Add();
+    const auto& workers = m_services.backend.Workers();
+    auto results = call.getResults();
+    results.setKnown(workers.has_value());
+    if (workers.has_value()) {
+      WriteWorkers(*workers, results.initWorkers(static_cast<unsigned>(workers->size())));
+    }
+    return kj::READY_NOW;
+  }
+
+ private:
+  ServiceContext& m_services;
+};
+
+/** First capability of a connection: gives out a service against a code over its nonce. */
+class GateService : public ControlGate::Server {
+ public:
+  explicit GateService(ServiceContext& services)
+      : m_services(services), m_nonce(rpc::MakeNonce()) {}
+
+  kj::Promise<void> challenge(ChallengeContext call) override {
+    call.getResults().setNonce(
+        kj::arrayPtr(reinterpret_cast<const kj::byte*>(m_nonce.data()), m_nonce.size()));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> openEntryControl(OpenEntryControlContext call) override {
+    const auto params = call.getParams();
+    const std::string caller = messages::ReadText(params.getCaller());
+    if (caller != m_services.context.settings.name ||
+        !IsAuthentic(caller, params.getCode(), rpc::kEntryControlService)) {
+      return Refuse(caller);
+    }
+    call.getResults().setService(kj::heap<EntryControlService>(m_services));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> openControlPeer(OpenControlPeerContext call) override {
+    const auto params = call.getParams();
+    const std::string caller = messages::ReadText(params.getCaller());
+    if (!IsAuthentic(caller, params.getCode(), rpc::kControlPeerService)) {
+      return Refuse(caller);
+    }
+    call.getResults().setService(kj::heap<ControlPeerService>(m_services));
+    return kj::READY_NOW;
+  }
+
+ private:
+  bool IsAuthentic(const std::string& caller, capnp::Data::Reader code, std::string_view service) {
+    const std::string given(code.asChars().begin(), code.size());
+    const bool authentic =
+        !m_refused &&
+        rpc::CodesEqual(given, rpc::MakeSessionCode(m_services.context.settings.deployment_key,
+                                                    m_nonce, caller, service));
+    // One wrong code ends what a connection can be used for.
+    m_refused = !authentic;
+    return authentic;
+  }
+
+  kj::Promise<void> Refuse(const std::string& caller) {
+    m_refused = true;
+    m_services.context.metrics.CounterOf("qh_control_sessions_refused_total").Add();
+    return KJ_EXCEPTION(FAILED, "the session code is wrong", caller);
+  }
+
+  ServiceContext& m_services;
+  std::string m_nonce;
+  bool m_refused = false;
+};
+// NOLINTEND(readability-identifier-naming)
+
+}  // namespace
+
+struct RpcGate::Impl {
+  ServiceContext services;
+  rpc::RpcServer server;
+
+  Impl(ControlContext& context, const contract::ContractBook& book, EntryLink& entry,
+       PeerLinks& peers, const GateBackend& backend)
+      : services{context,
+                 book,
+                 entry,
+                 peers,
+                 backend,
+                 context.metrics.CounterOf("qh_control_messages_total",
+                                           "kind=\"peer\",direction=\"received\""),
+                 context.metrics.CounterOf("qh_control_bytes_total",
+                                           "kind=\"peer\",direction=\"sent\"")},
+        server(context.kj_loop, context.settings.addresses.control_rpc, [this] {
+          return capnp::Capability::Client(ControlGate::Client(kj::heap<GateService>(services)));
+        }) {}
+};
+
+RpcGate::RpcGate(ControlContext& context, const contract::ContractBook& book, EntryLink& entry,
+                 PeerLinks& peers, const GateBackend& backend)
+    : m_impl(std::make_unique<Impl>(context, book, entry, peers, backend)) {}
+RpcGate::~RpcGate() = default;
+
+Result<Success> RpcGate::Start() { return m_impl->server.Start(); }
+
+}  // namespace qh::control
--- a/libs/membership/include/quetzalhinge/membership/member_record.h
+++ b/libs/membership/include/quetzalhinge/membership/member_record.h
@@ -37,6 +37,8 @@
   IpEndpoint control_rpc;
   /** Gossip over UDP. */
   IpEndpoint gossip;
+  /** Operators' HTTP of the control process. */
+  IpEndpoint operators;
 
   bool operator==(const MemberEndpoints&) const = default;
 };
--- a/libs/rpc/include/quetzalhinge/rpc/session_code.h
+++ b/libs/rpc/include/quetzalhinge/rpc/session_code.h
@@ -9,6 +9,11 @@
 inline constexpr std::size_t kNonceBytes = 16;
 inline constexpr std::size_t kSessionCodeBytes = 32;
 
+/** Names of the services in session codes: the interfaces of the schema. */
+inline constexpr std::string_view kEntryControlService = "EntryControl";
+inline constexpr std::string_view kControlPeerService = "ControlPeer";
+inline constexpr std::string_view kEntryPeerService = "EntryPeer";
+
 /** Returns a fresh random nonce of kNonceBytes bytes. */
 std::string MakeNonce();
 
--- /dev/null
+++ b/libs/rpc/include/quetzalhinge/rpc/time_limit.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <kj/async.h>
+#include <kj/debug.h>
+
+#include <chrono>
+
+#include "quetzalhinge/net/event_loop.h"
+#include "quetzalhinge/net/timer.h"
+
+namespace qh::rpc {
+
+/**
+ * Returns a promise that ends like `promise`, or fails with an exception of type OVERLOADED when
+ * `limit` has passed. The call behind `promise` is then cancelled.
+ */
+template <typename T>
+kj::Promise<T> WithTimeLimit(net::EventLoop& loop, std::chrono::milliseconds limit,
+                             kj::Promise<T> promise) {
+  auto expiry = kj::newPromiseAndFulfiller<T>();
+  // The fulfiller is attached before the timer, so that it is dropped after it.
+  auto timer = kj::heap<net::Timer>(loop, [fulfiller = expiry.fulfiller.get()] {
+    fulfiller->reject(KJ_EXCEPTION(OVERLOADED, "no answer within the time limit"));
+  });
+  timer->StartOnce(limit);
+  return promise.exclusiveJoin(
+      expiry.promise.attach(kj::mv(timer)).attach(kj::mv(expiry.fulfiller)));
+}
+
+}  // namespace qh::rpc
--- /dev/null
+++ b/libs/rpc/schema/gossip.capnp
@@ -0,0 +1,51 @@
+@0xc3e1f0a97d5b2846;
+
+# Messages over UDP between the qh-control processes of entry VMs. Small, because each datagram has
+# at most 1,100 bytes: endpoints are numbers in the record instead of structures of their own.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("qh::rpc::wire");
+
+struct GossipRecord {
+  vm @0 :Text;
+  zone @1 :Text;
+  entryIncarnation @2 :Text;
+  generation @3 :UInt64;
+  revision @4 :UInt64;
+  version @5 :UInt32;
+  heartbeat @6 :UInt32;
+  slot @7 :UInt16;
+  state @8 :UInt8;
+  callsAddress @9 :UInt32;
+  callsPort @10 :UInt16;
+  entryRpcAddress @11 :UInt32;
+  entryRpcPort @12 :UInt16;
+  controlRpcAddress @13 :UInt32;
+  controlRpcPort @14 :UInt16;
+  gossipAddress @15 :UInt32;
+  gossipPort @16 :UInt16;
+  operatorsAddress @17 :UInt32;
+  operatorsPort @18 :UInt16;
+}
+
+struct GossipNotice {
+  kind @0 :UInt8;
+  subject @1 :Text;
+  detail @2 :Text;
+  value @3 :UInt64;
+  stampMicros @4 :Int64;
+  lifetimeMillis @5 :UInt32;
+}
+
+struct GossipHeartbeat {
+  slot @0 :UInt16;
+  generationTag @1 :UInt16;
+  heartbeat @2 :UInt32;
+}
+
+struct GossipDatagram {
+  sender @0 :GossipRecord;
+  notices @1 :List(GossipNotice);
+  heartbeats @2 :List(GossipHeartbeat);
+  records @3 :List(GossipRecord);
+}
--- a/libs/rpc/schema/processes.capnp
+++ b/libs/rpc/schema/processes.capnp
@@ -56,15 +56,6 @@
   lifetimeMillis @5 :UInt32;
 }
 
-# One UDP message between qh-control processes.
-struct GossipMessage {
-  sender @0 :Text;
-  members @1 :List(Member);
-  notices @2 :List(Notice);
-  # Whether the receiver should answer with records of its own.
-  wantsReply @3 :Bool;
-}
-
 # A contract change in its JSON form (docs/interfaces.md), the same form as in the platform's table.
 struct ContractChange {
   revision @0 :UInt64;
@@ -165,6 +156,8 @@
 interface ControlPeer {
   changesSince @0 (revision :UInt64) -> (changes :ContractChanges);
   borrow @1 (customer :Text, request :BorrowRequest) -> (granted :Bool, grant :LoanGrant);
+  # The workers that the platform's list named last, for a VM that starts while the platform is down.
+  workers @2 () -> (known :Bool, workers :List(Worker));
 }
 
 # Served by qh-entry to the qh-entry of other entry VMs.
--- a/libs/rpc/test/test_rpc.cc
+++ b/libs/rpc/test/test_rpc.cc
@@ -6,6 +6,7 @@
 #include "quetzalhinge/rpc/rpc_client.h"
 #include "quetzalhinge/rpc/rpc_server.h"
 #include "quetzalhinge/rpc/session_code.h"
+#include "quetzalhinge/rpc/time_limit.h"
 
 namespace qh::rpc {
 namespace {
@@ -69,6 +70,21 @@
   CHECK(client.IsDisconnected());
 }
 
+TEST_CASE("A promise that never ends fails at its time limit") {
+  net::EventLoop loop;
+  KjEventLoop kj_loop(loop);
+  bool expired = false;
+  kj::Promise<int> never = kj::NEVER_DONE;
+  kj_loop.Detach(WithTimeLimit(loop, std::chrono::milliseconds(1), kj::mv(never))
+                     .then([](int) {},
+                           [&](kj::Exception&& exception) {
+                             expired = exception.getType() == kj::Exception::Type::OVERLOADED;
+                             loop.Stop();
+                           }));
+  loop.Run();
+  CHECK(expired);
+}
+
 TEST_CASE("A session code binds the nonce, the caller, the service and the key") {
   const std::string nonce = MakeNonce();
   const std::string code = MakeSessionCode("key", nonce, "jb-1", "peer");
