--- a/apps/qh-control/src/control_process.cc
+++ b/apps/qh-control/src/control_process.cc
@@ -110,7 +110,7 @@
   void OnEntryAttached() override {
     UpdateView();
     for (const membership::Notice& notice : gossip.Notices()) {
-      entry.PushNotice(notice);
+      OnFreshNotice(notice);
     }
     if (draining) {
       entry.Drain();
@@ -141,6 +141,7 @@
   }
 
   void OnFreshNotice(const membership::Notice& notice) override {
+    // The entry hears of revisions by the contracts themselves.
     if (notice.kind != membership::NoticeKind::kContractRevision) {
       entry.PushNotice(notice);
     }
--- a/apps/qh-control/src/gossip_codec.cc
+++ b/apps/qh-control/src/gossip_codec.cc
@@ -101,6 +101,7 @@
 GossipMessage ReadMessage(GossipDatagram::Reader in) {
   GossipMessage message;
   message.sender = ReadRecord(in.getSender());
+  message.known_members = in.getKnownMembers();
   for (const auto& notice : in.getNotices()) {
     message.notices.push_back(ReadNotice(notice));
   }
@@ -120,6 +121,7 @@
   capnp::MallocMessageBuilder builder;
   auto root = builder.initRoot<GossipDatagram>();
   WriteRecord(message.sender, root.initSender());
+  root.setKnownMembers(message.known_members);
   auto notices = root.initNotices(static_cast<unsigned>(message.notices.size()));
   for (unsigned i = 0; i < notices.size(); ++i) {
     WriteNotice(message.notices[i], notices[i]);
--- a/apps/qh-control/src/gossip_task.cc
+++ b/apps/qh-control/src/gossip_task.cc
@@ -126,8 +126,11 @@
   }
 
   void Forward(const std::vector<Notice>& notices) {
-    for (const PlannedMessage& planned :
-         planner.PlanForward(table, notices, context.loop.Now(), context.random)) {
+    SendAll(planner.PlanForward(table, notices, context.loop.Now(), context.random));
+  }
+
+  void SendAll(const std::vector<PlannedMessage>& messages) {
+    for (const PlannedMessage& planned : messages) {
       Send(planned);
     }
   }
@@ -145,6 +148,10 @@
       Refuse(ErrorOf(message).code);
       return;
     }
+    if (ValueOf(message).sender.vm != ValueOf(opened).sender) {
+      Refuse(ErrorCode::kUnauthenticated);
+      return;
+    }
     Take(ValueOf(message), context.loop.Now() - ValueOf(opened).age);
   }
 
@@ -157,6 +164,10 @@
 
   void Take(const GossipMessage& message, TimePoint observed_at) {
     const auto receipt = planner.Receive(message, table, board, context.loop.Now(), UnixNow());
+    if (receipt.is_sender_behind) {
+      SendAll(planner.PlanJoinReply(table, message.sender.endpoints.gossip, context.loop.Now(),
+                                    context.random));
+    }
     observer.OnPeerHeard(message.sender, observed_at);
     if (!receipt.fresh_notices.empty()) {
       Forward(receipt.fresh_notices);
--- a/libs/membership/src/gossip_message.cc
+++ b/libs/membership/src/gossip_message.cc
@@ -6,8 +6,8 @@
 namespace {
 
 constexpr std::size_t kWordBytes = 8;
-/** Numbers (7 words) and pointers to 3 texts. */
-constexpr std::size_t kRecordFixedBytes = 10 * kWordBytes;
+/** Numbers (8 words) and pointers to 3 texts. */
+constexpr std::size_t kRecordFixedBytes = 11 * kWordBytes;
 /** Numbers (3 words) and pointers to 2 texts. */
 constexpr std::size_t kNoticeFixedBytes = 5 * kWordBytes;
 constexpr std::size_t kDigestBytes = kWordBytes;
--- a/libs/rpc/schema/gossip.capnp
+++ b/libs/rpc/schema/gossip.capnp
@@ -48,4 +48,6 @@
   notices @1 :List(GossipNotice);
   heartbeats @2 :List(GossipHeartbeat);
   records @3 :List(GossipRecord);
+  # How many other members the sender hears from.
+  knownMembers @4 :UInt16;
 }
