load_aware: weigh a reported request a tenth of an own one

Cause: the figure in a response is 50 to 500 ms old and looks fresh, and 15 entry VMs act on the same one, so they all move to one worker at once.

--- a/libs/routing/src/load_aware_selector.cc
+++ b/libs/routing/src/load_aware_selector.cc
@@ -10,6 +10,11 @@
 constexpr double kFailurePenalty = 4.0;
 /** Cost of a worker in another availability zone as a multiple of the same one in the own zone. */
 constexpr double kOtherZoneFactor = 1.2;
+/**
+ * Weight of a reported request against an own one. All entry VMs receive the same late figure, so
+ * with full weight they all move to the same worker at once.
+ */
+constexpr double kReportWeight = 0.1;
 constexpr double kLeastSlowStartShare = 0.05;
 /** Half the range of random factors on costs, so that differences without meaning decide nothing.
  */
@@ -69,7 +74,7 @@
   double queue = worker.InProgress();
   if (worker.report) {
     const int others = std::max(0, worker.report->in_progress - worker.own_at_report);
-    queue += others * Faded(now - worker.report->taken, m_options.report_fade);
+    queue += kReportWeight * others * Faded(now - worker.report->taken, m_options.report_fade);
   }
   return queue / worker.info.slots;
 }
