load_aware: compare 8 workers instead of 2

Cause: one of 15 entry VMs has only a few short requests in progress at 8 workers, so two random workers often look alike.

--- a/libs/routing/include/quetzalhinge/routing/worker_selector.h
+++ b/libs/routing/include/quetzalhinge/routing/worker_selector.h
@@ -43,8 +43,11 @@
 struct SelectorOptions {
   /** Availability zone of this VM; empty turns the preference off. */
   std::string own_zone;
-  /** How many random candidates `load_aware` compares; at least 1. */
-  int choices = 2;
+  /**
+   * How many random candidates `load_aware` compares; at least 1. One VM has only few requests in
+   * progress at a time, so that two random workers often look alike.
+   */
+  int choices = 8;
   /** Time constant with which the weight of a load report fades with its age. */
   Duration report_fade = std::chrono::milliseconds(50);
   /** Time over which a worker that is new or back reaches its full share. */
