load_aware: long and short work prefer different workers

Cause: the limit of long requests per worker counts only this VM's own ones, so 15 VMs together can fill all 6 slots of a worker with long work. All VMs rank the workers by the same hash; the first ones, as many as the reserved share says, are preferred by short work, the others by long and unknown work.

--- a/libs/routing/src/load_aware_selector.cc
+++ b/libs/routing/src/load_aware_selector.cc
@@ -22,6 +22,12 @@
 /** Slots of each worker that this VM uses for routes it cannot classify yet. */
 constexpr int kUnknownSlots = 1;
 
+/**
+ * Cost of a worker outside those that the class of the request prefers. High, because one long
+ * request on a slot blocks short ones for many times their own latency.
+ */
+constexpr double kOtherClassFactor = 8.0;
+
 double Faded(Duration age, Duration window) noexcept {
   return std::exp(-std::chrono::duration<double>(age) / std::chrono::duration<double>(window));
 }
@@ -39,6 +45,43 @@
   return worker.InProgress(WorkClass::kLong) < std::max(1, worker.info.slots - reserved);
 }
 
+/**
+ * The border between the workers that long and short work prefer. All entry VMs rank the workers in
+ * the same order, so without any message long work meets on the same workers.
+ */
+class ClassBorder {
+ public:
+  ClassBorder(std::span<const Worker* const> candidates, const SelectionRequest& request)
+      : m_is_short(request.work_class == WorkClass::kShort) {
+    if (request.reserved_share <= 0 || candidates.size() < 2) {
+      return;
+    }
+    std::vector<std::uint64_t> ranks;
+    ranks.reserve(candidates.size());
+    for (const Worker* worker : candidates) {
+      ranks.push_back(worker->rank);
+    }
+    const auto count = static_cast<double>(ranks.size());
+    const double for_short = std::clamp(std::ceil(request.reserved_share * count), 1.0, count - 1);
+    const auto border = ranks.begin() + static_cast<std::ptrdiff_t>(for_short);
+    std::nth_element(ranks.begin(), border, ranks.end());
+    m_first_long_rank = *border;
+  }
+
+  /** Returns the factor on the cost of `worker` for the request. */
+  double FactorOf(const Worker& worker) const noexcept {
+    if (!m_first_long_rank) {
+      return 1.0;
+    }
+    const bool is_for_short = worker.rank < *m_first_long_rank;
+    return is_for_short == m_is_short ? 1.0 : kOtherClassFactor;
+  }
+
+ private:
+  bool m_is_short;
+  std::optional<std::uint64_t> m_first_long_rank;
+};
+
 }  // namespace
 
 const Worker* LoadAwareSelector::Select(std::span<const Worker* const> candidates,
@@ -46,12 +89,14 @@
                                         RandomGenerator& generator) {
   auto eligible = EligibleWorkers(candidates, request);
   std::erase_if(eligible, [&](const Worker* worker) { return !HasSlotFor(*worker, request); });
+  const ClassBorder border(candidates, request);
   std::uniform_real_distribution<double> jitter(1.0 - kCostJitter, 1.0 + kCostJitter);
   const Worker* best = nullptr;
   double best_cost = 0;
   for (int choice = 0; choice < m_options.choices && !eligible.empty(); ++choice) {
     std::swap(eligible[RandomIndex(eligible.size(), generator)], eligible.back());
-    const double cost = CostOf(*eligible.back(), now) * jitter(generator);
+    const double cost =
+        CostOf(*eligible.back(), now) * border.FactorOf(*eligible.back()) * jitter(generator);
     if (best == nullptr || cost < best_cost) {
       best = eligible.back();
       best_cost = cost;
