Do not count unknown routes as long work in the reserve

Cause: the first 20 samples of each route counted as long, and the decaying sum stayed above its threshold for most of a minute, so a service without long work kept a worker for it.

--- a/libs/routing/src/route_classifier.cc
+++ b/libs/routing/src/route_classifier.cc
@@ -141,6 +141,9 @@
 
   /** Adds the route's usual time: a latency that is mostly waiting would distort the shares. */
   void CountWork(const RouteEntry& entry, ServiceEntry& service, TimePoint now) const {
+    if (entry.work_class == WorkClass::kUnknown) {
+      return;
+    }
     const double seconds = std::chrono::duration<double>(entry.latency.Median()).count();
     DecayingSum& sum =
         entry.work_class == WorkClass::kShort ? service.short_seconds : service.long_seconds;
--- a/libs/routing/test/test_route_classifier.cc
+++ b/libs/routing/test/test_route_classifier.cc
@@ -39,6 +39,12 @@
     CHECK(classifier.ProfileOf(kStock).median >= milliseconds(4));
     CHECK(classifier.ProfileOf(kStock).median <= std::chrono::microseconds(4500));
   }
+  SECTION("unknown routes do not count as long work in the reserve") {
+    // Guards against a service without long work that keeps a part of its workers for it.
+    record(kStock, 300, milliseconds(4), kNow);
+    record(kLedger, 19, milliseconds(200), kNow);
+    CHECK(classifier.ReservedShare("gudang", kNow) == 0);
+  }
   SECTION("with a stock check of 4 ms and a ledger query of 200 ms") {
     record(kStock, 300, milliseconds(4), kNow);
     record(kLedger, 30, milliseconds(200), kNow);
