--- a/tools/qh-policy-model/main.cc
+++ b/tools/qh-policy-model/main.cc
@@ -2,6 +2,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <limits>
+#include <string>
 #include <vector>
 
 #include "model.h"
@@ -84,6 +85,7 @@
         {"seeds", "runs with consecutive seeds, default 3", "N"},
         {"seconds", "measured virtual time of a run in s, default 20", "S"},
         {"utilization", "offered work as a part of all slots, default 0.7", "PART"},
+        {"long-calls", "part of long calls in the mixed scenarios, default 0.03", "PART"},
         {"scenario", "only this scenario, default all", "NAME"}}},
       argc, argv);
   qh::policy_model::RunOptions options;
@@ -99,7 +101,10 @@
               options.utilization);
   std::printf("%-16s %-15s %9s %9s %9s %9s %9s %9s %9s\n", "scenario", "policy", "short50",
               "short99", "short99.9", "long50", "long99", "calls", "errors");
-  for (const auto& goal : Goals()) {
+  const double long_calls =
+      std::strtod(command_line.ValueOr("long-calls", "0.03").c_str(), nullptr);
+  for (auto goal : Goals()) {
+    goal.scenario.long_calls = goal.scenario.long_calls > 0 ? long_calls : 0;
     if (only.empty() || only == goal.scenario.name) {
       RunGoal(goal, options, seeds);
     }
