load_aware: spread each class's workers over the availability zones

Cause: with the plain hash order, the workers that short work prefers may lie outside a VM's zone, which costs it 3 ms a call. Workers are now ranked within their zone and the zones merged evenly.

--- a/libs/routing/include/quetzalhinge/routing/worker.h
+++ b/libs/routing/include/quetzalhinge/routing/worker.h
@@ -146,8 +146,13 @@
   /** When `failures` was last updated. */
   TimePoint failures_updated;
 
-  /** Hash of the id. Every VM ranks the workers of a service in the same order by it. */
-  std::uint64_t rank = 0;
+  /** Hash of the id. */
+  std::uint64_t id_hash = 0;
+  /**
+   * Place among the live workers of the service in an order that all VMs agree on and that merges
+   * the availability zones evenly. Short work prefers the first places, long work the last ones.
+   */
+  int rank = 0;
 
   /** Returns own requests in progress of `work_class`. */
   int InProgress(WorkClass work_class) const noexcept {
--- a/libs/routing/src/load_aware_selector.cc
+++ b/libs/routing/src/load_aware_selector.cc
@@ -56,7 +56,7 @@
     if (request.reserved_share <= 0 || candidates.size() < 2) {
       return;
     }
-    std::vector<std::uint64_t> ranks;
+    std::vector<int> ranks;
     ranks.reserve(candidates.size());
     for (const Worker* worker : candidates) {
       ranks.push_back(worker->rank);
@@ -79,7 +79,7 @@
 
  private:
   bool m_is_short;
-  std::optional<std::uint64_t> m_first_long_rank;
+  std::optional<int> m_first_long_rank;
 };
 
 }  // namespace
--- a/libs/routing/src/worker_table.cc
+++ b/libs/routing/src/worker_table.cc
@@ -3,13 +3,42 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <iterator>
 #include <map>
+#include <tuple>
 
 #include "quetzalhinge/base/hash.h"
 
 namespace qh::routing {
 namespace {
 
+/**
+ * Ranks live workers by their hashes within each availability zone and merges the zones evenly, so
+ * that any leading part of the order holds about the same part of each zone. Every VM that knows
+ * the same live workers finds the same order.
+ */
+void RankWorkers(std::vector<Worker*> workers) {
+  std::sort(workers.begin(), workers.end(), [](const Worker* a, const Worker* b) {
+    return std::tie(a->info.zone, a->id_hash) < std::tie(b->info.zone, b->id_hash);
+  });
+  std::vector<std::tuple<double, std::uint64_t, Worker*>> order;
+  for (auto first = workers.begin(); first != workers.end();) {
+    const auto last = std::find_if(first, workers.end(), [&](const Worker* worker) {
+      return worker->info.zone != (*first)->info.zone;
+    });
+    const auto size = static_cast<double>(last - first);
+    double place = 0.5;
+    for (; first != last; ++first, place += 1.0) {
+      order.emplace_back(place / size, (*first)->id_hash, *first);
+    }
+  }
+  std::sort(order.begin(), order.end());
+  int rank = 0;
+  for (const auto& [place, hash, worker] : order) {
+    worker->rank = rank++;
+  }
+}
+
 /** The workers of one service and those that this VM may select. */
 struct ServiceWorkers {
   explicit ServiceWorkers(const SubsetOptions& options) : subset(options) {}
@@ -20,19 +49,19 @@
 
   /** Computes the subset and the candidates after a change of members or states. */
   void Refresh() {
-    std::vector<std::string> live;
-    for (const Worker* worker : workers) {
+    std::vector<Worker*> live;
+    std::vector<std::string> live_ids;
+    for (Worker* worker : workers) {
       if (worker->state == WorkerState::kLive) {
-        live.push_back(worker->info.id);
+        live.push_back(worker);
+        live_ids.push_back(worker->info.id);
       }
     }
-    subset.Update(live);
+    RankWorkers(live);
+    subset.Update(live_ids);
     candidates.clear();
-    for (const Worker* worker : workers) {
-      if (worker->state == WorkerState::kLive && subset.Contains(worker->info.id)) {
-        candidates.push_back(worker);
-      }
-    }
+    std::copy_if(live.begin(), live.end(), std::back_inserter(candidates),
+                 [&](const Worker* worker) { return subset.Contains(worker->info.id); });
   }
 };
 
@@ -176,7 +205,7 @@
   void Add(const WorkerInfo& info, const WorkerSign& sign, TimePoint now) {
     Worker& worker = workers[info.id];
     worker.info = info;
-    worker.rank = HashBytes(info.id);
+    worker.id_hash = HashBytes(info.id);
     BecomeLive(worker, sign, now);
     if (sign.state != WorkerState::kLive) {
       BecomeUnavailable(worker, sign, now);
--- a/libs/routing/test/test_worker_selector.cc
+++ b/libs/routing/test/test_worker_selector.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
 
 #include "quetzalhinge/routing/worker_selector.h"
 #include "quetzalhinge/routing/worker_table.h"
@@ -122,6 +123,44 @@
   }
 }
 
+TEST_CASE("load_aware keeps long work away from the workers that short work uses") {
+  // Guards against entry VMs that together fill all slots of every worker with long work.
+  const std::array<const char*, 3> zones{"z0", "z1", "z2"};
+  std::set<std::string> used_by_short;
+  std::set<std::string> used_by_long;
+  std::set<std::string> zones_of_short;
+  for (int vm = 0; vm < 15; ++vm) {
+    WorkerTable table({});
+    for (int i = 0; i < 9; ++i) {
+      // The VMs learn of the workers in different orders.
+      const int index = (i + vm) % 9;
+      table.Upsert({IdOf(index), "katalog", {"127.0.2.1", 9000}, zones[index % 3], 6}, {},
+                   kNow - seconds(60));
+    }
+    const auto selector = MakeWorkerSelector(SelectionPolicy::kLoadAware, {.own_zone = "z1"});
+    RandomGenerator generator(7);
+    for (int i = 0; i < 50; ++i) {
+      for (const WorkClass work_class : {WorkClass::kShort, WorkClass::kLong}) {
+        const Worker* worker =
+            selector->Select(table.Candidates("katalog"), {work_class, 0.5, {}}, kNow, generator);
+        REQUIRE(worker != nullptr);
+        (work_class == WorkClass::kShort ? used_by_short : used_by_long).insert(worker->info.id);
+        if (work_class == WorkClass::kShort) {
+          zones_of_short.insert(worker->info.zone);
+        }
+        // Few stay in progress: with more, long work reaches its limit on its own workers.
+        if (i % 10 == 0) {
+          table.Started(worker->info.id, work_class);
+        }
+      }
+    }
+  }
+  for (const std::string& id : used_by_short) {
+    CHECK(used_by_long.count(id) == 0);
+  }
+  CHECK(zones_of_short.size() == 3);
+}
+
 TEST_CASE("load_aware keeps slots of each worker free of long work") {
   WorkerTable table({});
   AddWorkers(table, 1);
