load_aware: a measured latency fades while no new one is measured

Cause: a worker that was slow once got no further call, so nothing could show that it had recovered. The new test fails without the change (0 of 4000 calls after 30 s).

--- a/libs/routing/include/quetzalhinge/routing/worker_selector.h
+++ b/libs/routing/include/quetzalhinge/routing/worker_selector.h
@@ -50,6 +50,8 @@
   int choices = 8;
   /** Time constant with which the weight of a load report fades with its age. */
   Duration report_fade = std::chrono::milliseconds(50);
+  /** Time constant with which a measured latency fades to the normal one while none is measured. */
+  Duration latency_fade = std::chrono::seconds(2);
   /** Time over which a worker that is new or back reaches its full share. */
   Duration slow_start = std::chrono::seconds(5);
   /** Time constant with which recent failures fade; WorkerTableOptions has the same default. */
--- a/libs/routing/src/load_aware_selector.cc
+++ b/libs/routing/src/load_aware_selector.cc
@@ -110,11 +110,17 @@
   const double failures =
       worker.failures * Faded(now - worker.failures_updated, m_options.failure_window);
   const bool other_zone = !m_options.own_zone.empty() && worker.info.zone != m_options.own_zone;
-  return (1.0 + ExpectedQueue(worker, now)) * worker.latency_ratio.value_or(1.0) *
+  return (1.0 + ExpectedQueue(worker, now)) * ExpectedLatency(worker, now) *
          (1.0 + kFailurePenalty * failures) * (other_zone ? kOtherZoneFactor : 1.0) /
          SlowStartShare(worker, now);
 }
 
+double LoadAwareSelector::ExpectedLatency(const Worker& worker, TimePoint now) const noexcept {
+  // Without the fade, a worker that was slow once would get no call that could show its recovery.
+  const double excess = worker.latency_ratio.value_or(1.0) - 1.0;
+  return 1.0 + excess * Faded(now - worker.latency_updated, m_options.latency_fade);
+}
+
 double LoadAwareSelector::ExpectedQueue(const Worker& worker, TimePoint now) const noexcept {
   double queue = worker.InProgress();
   if (worker.report) {
--- a/libs/routing/src/load_aware_selector.h
+++ b/libs/routing/src/load_aware_selector.h
@@ -26,6 +26,7 @@
 
  private:
   double CostOf(const Worker& worker, TimePoint now) const noexcept;
+  double ExpectedLatency(const Worker& worker, TimePoint now) const noexcept;
   double ExpectedQueue(const Worker& worker, TimePoint now) const noexcept;
   double SlowStartShare(const Worker& worker, TimePoint now) const noexcept;
 
--- a/libs/routing/test/test_worker_selector.cc
+++ b/libs/routing/test/test_worker_selector.cc
@@ -114,6 +114,15 @@
     CHECK(Distribution(*selector, table, kNow, 4000)["w2"] == 0);
     CHECK(Distribution(*selector, table, kNow + seconds(30), 4000)["w2"] > 0);
   }
+  SECTION("one that is slow gets none at first, and is tried again later") {
+    finish("w2", RequestOutcome::kSucceeded, milliseconds(100));
+    table.Started("w2", WorkClass::kShort);
+    table.Finished(
+        "w2", {WorkClass::kShort, RequestOutcome::kSucceeded, milliseconds(100), milliseconds(10)},
+        kNow + seconds(1));
+    CHECK(Distribution(*selector, table, kNow + seconds(1), 4000)["w2"] == 0);
+    CHECK(Distribution(*selector, table, kNow + seconds(30), 4000)["w2"] > 0);
+  }
   SECTION("one that is back gets a growing share") {
     table.Apply("w2", {WorkerState::kLeaving, SignSource::kNotice, 1, "a"}, kNow);
     table.Apply("w2", {WorkerState::kLive, SignSource::kNotice, 2, "b"}, kNow);
