load_aware: slow start passes over a worker at random

Cause: slow start was a factor on the cost, but the cheapest worker takes all, so a worker that was back got nothing for most of the 5 s and then a full share. It is now considered with a probability that grows over the 5 s, and always when there is no other. The test now asks for about half of a fair share after half of the time.

--- a/libs/routing/src/load_aware_selector.cc
+++ b/libs/routing/src/load_aware_selector.cc
@@ -89,16 +89,17 @@
                                         RandomGenerator& generator) {
   auto eligible = EligibleWorkers(candidates, request);
   std::erase_if(eligible, [&](const Worker* worker) { return !HasSlotFor(*worker, request); });
+  PassOverStartingWorkers(eligible, now, generator);
   const ClassBorder border(candidates, request);
   std::uniform_real_distribution<double> jitter(1.0 - kCostJitter, 1.0 + kCostJitter);
   const Worker* best = nullptr;
   double best_cost = 0;
   for (int choice = 0; choice < m_options.choices && !eligible.empty(); ++choice) {
     std::swap(eligible[RandomIndex(eligible.size(), generator)], eligible.back());
-    const double cost =
-        CostOf(*eligible.back(), now) * border.FactorOf(*eligible.back()) * jitter(generator);
+    const Worker& worker = *eligible.back();
+    const double cost = CostOf(worker, now) * border.FactorOf(worker) * jitter(generator);
     if (best == nullptr || cost < best_cost) {
-      best = eligible.back();
+      best = &worker;
       best_cost = cost;
     }
     eligible.pop_back();
@@ -106,13 +107,25 @@
   return best;
 }
 
+void LoadAwareSelector::PassOverStartingWorkers(std::vector<const Worker*>& eligible, TimePoint now,
+                                                RandomGenerator& generator) const {
+  std::uniform_real_distribution<double> draw(0.0, 1.0);
+  const auto first_passed_over =
+      std::partition(eligible.begin(), eligible.end(), [&](const Worker* worker) {
+        const double share = SlowStartShare(*worker, now);
+        return share >= 1.0 || draw(generator) < share;
+      });
+  if (first_passed_over != eligible.begin()) {
+    eligible.erase(first_passed_over, eligible.end());
+  }
+}
+
 double LoadAwareSelector::CostOf(const Worker& worker, TimePoint now) const noexcept {
   const double failures =
       worker.failures * Faded(now - worker.failures_updated, m_options.failure_window);
   const bool other_zone = !m_options.own_zone.empty() && worker.info.zone != m_options.own_zone;
   return (1.0 + ExpectedQueue(worker, now)) * ExpectedLatency(worker, now) *
-         (1.0 + kFailurePenalty * failures) * (other_zone ? kOtherZoneFactor : 1.0) /
-         SlowStartShare(worker, now);
+         (1.0 + kFailurePenalty * failures) * (other_zone ? kOtherZoneFactor : 1.0);
 }
 
 double LoadAwareSelector::ExpectedLatency(const Worker& worker, TimePoint now) const noexcept {
--- a/libs/routing/src/load_aware_selector.h
+++ b/libs/routing/src/load_aware_selector.h
@@ -25,6 +25,12 @@
                        TimePoint now, RandomGenerator& generator) override;
 
  private:
+  /**
+   * Removes a random part of the workers in slow start, unless nothing would be left. A factor on
+   * their cost would not give them a growing share: the cheapest worker takes all.
+   */
+  void PassOverStartingWorkers(std::vector<const Worker*>& eligible, TimePoint now,
+                               RandomGenerator& generator) const;
   double CostOf(const Worker& worker, TimePoint now) const noexcept;
   double ExpectedLatency(const Worker& worker, TimePoint now) const noexcept;
   double ExpectedQueue(const Worker& worker, TimePoint now) const noexcept;
--- a/libs/routing/test/test_worker_selector.cc
+++ b/libs/routing/test/test_worker_selector.cc
@@ -126,9 +126,12 @@
   SECTION("one that is back gets a growing share") {
     table.Apply("w2", {WorkerState::kLeaving, SignSource::kNotice, 1, "a"}, kNow);
     table.Apply("w2", {WorkerState::kLive, SignSource::kNotice, 2, "b"}, kNow);
-    const int at_once = Distribution(*selector, table, kNow, 4000)["w2"];
-    const int later = Distribution(*selector, table, kNow + seconds(6), 4000)["w2"];
-    CHECK(at_once < later / 2);
+    const auto share_after = [&](Duration time) {
+      return Distribution(*selector, table, kNow + time, 4000)["w2"];
+    };
+    const int fair = share_after(seconds(6));
+    CHECK(share_after(seconds(0)) < fair / 4);
+    CHECK(share_after(milliseconds(2500)) == Approx(fair / 2).margin(fair / 5));
   }
 }
 
@@ -170,6 +173,13 @@
   CHECK(zones_of_short.size() == 3);
 }
 
+TEST_CASE("load_aware uses a worker in slow start when there is no other") {
+  WorkerTable table({});
+  table.Upsert({"w0", "katalog", {"127.0.2.1", 9000}, "jb", 6}, {}, kNow);
+  const auto selector = MakeWorkerSelector(SelectionPolicy::kLoadAware);
+  CHECK(Distribution(*selector, table, kNow, 100)["w0"] == 100);
+}
+
 TEST_CASE("load_aware keeps slots of each worker free of long work") {
   WorkerTable table({});
   AddWorkers(table, 1);
