Worker table: at least one slot, and a new rank when a zone changes

Cause: load_aware divides by the slots, and the rank depends on the zone; a list entry with 0 slots or another zone would otherwise give a cost without meaning or an order that other VMs do not share. Tests pass, also with the address and undefined-behaviour sanitizers.

--- a/libs/routing/src/worker_table.cc
+++ b/libs/routing/src/worker_table.cc
@@ -205,6 +205,7 @@
   void Add(const WorkerInfo& info, const WorkerSign& sign, TimePoint now) {
     Worker& worker = workers[info.id];
     worker.info = info;
+    worker.info.slots = std::max(1, info.slots);
     worker.id_hash = HashBytes(info.id);
     BecomeLive(worker, sign, now);
     if (sign.state != WorkerState::kLive) {
@@ -268,7 +269,12 @@
   if (worker->info.service != info.service) {
     return false;
   }
+  const bool zone_changed = worker->info.zone != info.zone;
   worker->info = info;
+  worker->info.slots = std::max(1, info.slots);
+  if (zone_changed) {
+    m_impl->ServiceOf(info.service).Refresh();
+  }
   return m_impl->Apply(*worker, sign, now);
 }
 
