Correct the figures on the evenness of subsets

With 19 VMs and 4 workers the run had shown 12 and 16 (33%). The bound of the test (25% and one) is unchanged and holds for its 100 random sizes.

--- a/libs/routing/test/test_worker_subset.cc
+++ b/libs/routing/test/test_worker_subset.cc
@@ -47,8 +47,8 @@
     RC_ASSERT(uses.size() == ids.size());
     const auto [least, most] = std::minmax_element(
         uses.begin(), uses.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
-    // Measured for all sizes below 120 VMs and 60 workers: at most 15% between least and most, and
-    // one more by rounding.
+    // Few workers are the least even case: 12 and 16 VMs were seen with 19 VMs and 4 workers, 65
+    // and 75 with 96 VMs and 4 workers.
     RC_ASSERT(most->second <= least->second * 1.25 + 1);
     for (const auto& [id, count] : connections) {
       RC_ASSERT(count <= 220);
