--- a/apps/qh-control/src/contract_acceptance.cc
+++ b/apps/qh-control/src/contract_acceptance.cc
@@ -69,34 +69,23 @@
     }
     return;
   }
-  if (m_customer_changed) {
-    // No transaction of this command can apply any more: each has the old row as its condition.
-    Finish(CommandConflict{CurrentVersion(), m_current.has_value() ? m_current->author : ""});
+  if (m_result_unless_found.has_value()) {
+    Finish(*m_result_unless_found);
     return;
   }
   Read(ContractKey(m_command.customer), &ContractAcceptance::OnCustomer);
 }
 
 void ContractAcceptance::OnCustomer(const std::optional<TableRow>& row) {
-  const bool first_read = !m_base_row_version.has_value();
   if (!NoteCustomer(row)) {
     return;
   }
-  if (m_customer_changed) {
-    // The newer row may be the work of this command's own transaction.
+  m_result_unless_found = Objection(row.has_value() ? row->version : 0);
+  if (m_result_unless_found.has_value()) {
     ReadOperation();
-    return;
-  }
-  if (first_read && m_command.expect_version.has_value() &&
-      *m_command.expect_version != CurrentVersion()) {
-    Finish(CommandConflict{CurrentVersion(), m_current.has_value() ? m_current->author : ""});
-    return;
-  }
-  if (m_command.contract == nullptr && CurrentVersion() == 0) {
-    Finish(CommandRefusal::kNoContract);
-    return;
+  } else {
+    Read(kHeadKey, &ContractAcceptance::OnHead);
   }
-  Read(kHeadKey, &ContractAcceptance::OnHead);
 }
 
 bool ContractAcceptance::NoteCustomer(const std::optional<TableRow>& row) {
@@ -108,12 +97,27 @@
     }
     m_current = TakeValue(std::move(change));
   }
-  const std::uint64_t row_version = row.has_value() ? row->version : 0;
-  m_customer_changed = m_base_row_version.value_or(row_version) != row_version;
-  m_base_row_version = m_base_row_version.value_or(row_version);
   return true;
 }
 
+std::optional<CommandResult> ContractAcceptance::Objection(std::uint64_t row_version) {
+  const bool first_read = !m_base_row_version.has_value();
+  const CommandConflict conflict{CurrentVersion(), m_current.has_value() ? m_current->author : ""};
+  if (!first_read) {
+    // Then no transaction of this command can apply any more: each has the old row as condition.
+    return row_version == *m_base_row_version ? std::nullopt
+                                              : std::optional<CommandResult>(conflict);
+  }
+  m_base_row_version = row_version;
+  if (m_command.expect_version.value_or(CurrentVersion()) != CurrentVersion()) {
+    return conflict;
+  }
+  if (m_command.contract == nullptr && CurrentVersion() == 0) {
+    return CommandRefusal::kNoContract;
+  }
+  return std::nullopt;
+}
+
 void ContractAcceptance::OnHead(const std::optional<TableRow>& row) {
   const Result<contract::Revision> revision = RevisionOfHead(row);
   if (!IsOk(revision)) {
--- a/apps/qh-control/src/contract_acceptance.h
+++ b/apps/qh-control/src/contract_acceptance.h
@@ -85,6 +85,7 @@
   void OnOperation(const std::optional<platform::TableRow>& row);
   void OnCustomer(const std::optional<platform::TableRow>& row);
   bool NoteCustomer(const std::optional<platform::TableRow>& row);
+  std::optional<CommandResult> Objection(std::uint64_t row_version);
   void OnHead(const std::optional<platform::TableRow>& row);
   void Transact(contract::Revision head_revision, std::uint64_t head_version);
   void OnTransaction(const platform::TransactionResult& result,
@@ -103,8 +104,11 @@
   std::optional<std::uint64_t> m_base_row_version;
   /** The customer's last change, with that row. */
   std::optional<contract::ContractChange> m_current;
-  /** The customer's row is no longer the one that the change is based on. */
-  bool m_customer_changed = false;
+  /**
+   * What to report if the operation is still absent when it is read again: the rows that speak
+   * against the change may have been written by this very operation, sent through another VM.
+   */
+  std::optional<CommandResult> m_result_unless_found;
   /** A transaction was sent whose outcome is not known. */
   bool m_outcome_unknown = false;
 };
