Order addresses by customer and caller, not by customer alone

Cause: all callers of a customer got the same first address, so its whole demand met one VM's share of the rate.

--- a/apps/qh-entry/src/address_book.cc
+++ b/apps/qh-entry/src/address_book.cc
@@ -35,7 +35,8 @@
     if (vm.takes_calls && vm.entry_incarnation != 0) {
       const bool is_home = std::find(homes.begin(), homes.end(), vm.slot) != homes.end();
       ranked.push_back(
-          {{vm.zone != zone, !is_home, HashParts({query.customer, query.service, vm.name})}, &vm});
+          {{vm.zone != zone, !is_home, HashParts({query.customer, query.caller_ip, vm.name})},
+           &vm});
     }
   }
   std::sort(ranked.begin(), ranked.end(),
--- a/apps/qh-entry/src/address_book.h
+++ b/apps/qh-entry/src/address_book.h
@@ -30,6 +30,8 @@
   std::string customer;
   /** Zone that the caller prefers; empty for this VM's zone. */
   std::string zone;
+  /** IP number of the caller. */
+  std::string caller_ip;
 };
 
 /** One address of an answer. */
@@ -61,7 +63,8 @@
   /**
    * Returns addresses in order of preference: the customer's home VMs in the preferred zone, the
    * other VMs of that zone, then home VMs and other VMs of other zones. Within each of these groups
-   * the order differs from customer to customer, so that customers spread over the VMs.
+   * the order differs between customers and between the IP numbers of callers: the callers of a
+   * customer spread over its home VMs, and each caller stays with the VM that holds loans for it.
    */
   std::vector<CallerAddress> AddressesFor(const AddressQuery& query, UnixMicros now_us) const;
 
--- a/apps/qh-entry/src/call_service.cc
+++ b/apps/qh-entry/src/call_service.cc
@@ -82,6 +82,7 @@
   query.service = http::QueryParameter(path, "service").value_or("");
   query.customer = http::QueryParameter(path, "customer").value_or("");
   query.zone = http::QueryParameter(path, "zone").value_or("");
+  query.caller_ip = exchange->PeerIp();
   if (query.customer.empty()) {
     Refuse(exchange, {CallErrorCode::kMissingCustomer, "the parameter customer is required", {}});
     return;
--- a/apps/qh-entry/test/fake_exchange.h
+++ b/apps/qh-entry/test/fake_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <utility>
 
 #include "quetzalhinge/http/http_server.h"
@@ -15,6 +16,7 @@
 
   const http::HttpRequest& Request() const noexcept override { return m_request; }
   bool HasAmbiguousFraming() const noexcept override { return m_ambiguous; }
+  std::string PeerIp() const override { return "127.0.0.1"; }
   bool IsConnected() const noexcept override { return true; }
   void Respond(http::HttpResponse response) override { m_response = std::move(response); }
 
--- a/apps/qh-entry/test/test_address_book.cc
+++ b/apps/qh-entry/test/test_address_book.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "address_book.h"
+#include "quetzalhinge/limits/home_slots.h"
 
 namespace qh::entry {
 namespace {
@@ -32,12 +33,13 @@
 
   SECTION("the preferred zone comes first") {
     book.Update(vms);
-    const auto addresses = book.AddressesFor({"katalog", "semarang", ""}, now);
+    const auto addresses = book.AddressesFor({"katalog", "semarang", "", "10.0.0.1"}, now);
     REQUIRE(addresses.size() == AddressBook::kMaxAddresses);
     for (std::size_t i = 0; i < 5; ++i) {
       CHECK(addresses[i].zone == "zone-0");
     }
-    CHECK(book.AddressesFor({"katalog", "semarang", "zone-2"}, now).front().zone == "zone-2");
+    CHECK(book.AddressesFor({"katalog", "semarang", "zone-2", "10.0.0.1"}, now).front().zone ==
+          "zone-2");
   }
   SECTION("a VM that takes no calls, or whose process is not known, is left out") {
     for (EntryVm& vm : vms) {
@@ -46,21 +48,31 @@
     vms[4].takes_calls = true;
     vms[4].entry_incarnation = 0;
     book.Update(vms);
-    const auto addresses = book.AddressesFor({"katalog", "semarang", ""}, now);
+    const auto addresses = book.AddressesFor({"katalog", "semarang", "", "10.0.0.1"}, now);
     REQUIRE(addresses.size() == 1);
     CHECK(addresses.front().vm == "vm-3");
   }
-  SECTION("customers spread over the VMs, so that one VM is not everybody's first choice") {
+  SECTION("a caller keeps its VM, and the callers of one customer spread over its home VMs") {
+    const auto homes = limits::HomeSlotsOf("semarang", 15, 12);
     book.Update(vms);
     std::set<std::string> first;
     for (int i = 0; i < 100; ++i) {
-      first.insert(book.AddressesFor({"katalog", "c" + std::to_string(i), ""}, now).front().vm);
+      const AddressQuery query{"katalog", "semarang", "", "10.0.0." + std::to_string(i)};
+      const std::string vm = book.AddressesFor(query, now).front().vm;
+      CHECK(book.AddressesFor(query, now + 5'000'000).front().vm == vm);
+      first.insert(vm);
     }
-    CHECK(first.size() == 5);
+    std::set<std::string> expected;
+    for (const limits::SlotNumber slot : homes) {
+      if (slot % 3 == 0) {
+        expected.insert("vm-" + std::to_string(slot));
+      }
+    }
+    CHECK(first == expected);
   }
   SECTION("the key prefix names the VM at the address and is accepted as a key") {
     book.Update(vms);
-    const auto address = book.AddressesFor({"pesanan", "semarang", ""}, now).front();
+    const auto address = book.AddressesFor({"pesanan", "semarang", "", "10.0.0.1"}, now).front();
     const auto key = authority.Accept(address.key_prefix + ".order-1");
     REQUIRE(IsOk(key));
     CHECK(ValueOf(key).holder.vm == address.vm);
--- a/libs/http/include/quetzalhinge/http/http_server.h
+++ b/libs/http/include/quetzalhinge/http/http_server.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "quetzalhinge/base/error.h"
@@ -34,6 +35,9 @@
   /** Returns whether the head described the body's length in two ways (RFC 9112, 6.3). */
   virtual bool HasAmbiguousFraming() const noexcept = 0;
 
+  /** Returns the IP number of the peer; empty if it is not known. */
+  virtual std::string PeerIp() const = 0;
+
   /** Returns whether the peer's connection is still open, as far as this side knows. */
   virtual bool IsConnected() const noexcept = 0;
 
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -166,6 +166,15 @@
 
   const HttpRequest& Request() const noexcept override { return m_request; }
   bool HasAmbiguousFraming() const noexcept override { return m_ambiguous; }
+  std::string PeerIp() const override {
+    sockaddr_storage address{};
+    if (m_h2o_request == nullptr ||
+        m_h2o_request->conn->callbacks->get_peername(m_h2o_request->conn,
+                                                     reinterpret_cast<sockaddr*>(&address)) == 0) {
+      return "";
+    }
+    return FromSockaddr(reinterpret_cast<const sockaddr_in&>(address)).ip;
+  }
   bool IsConnected() const noexcept override { return m_h2o_request != nullptr; }
 
   void Respond(HttpResponse response) override {
