--- a/apps/qh-control/test/entry_fake.cc
+++ b/apps/qh-control/test/entry_fake.cc
@@ -25,7 +25,7 @@
   // NOLINTBEGIN(readability-identifier-naming): the names come from the schema.
   kj::Promise<void> applyContracts(ApplyContractsContext call) override {
     const auto update = messages::ReadContractUpdate(call.getParams().getChanges());
-    KJ_REQUIRE(IsOk(update));
+    KJ_REQUIRE(IsOk(update), "the update has another form");
     const auto& changes = ValueOf(update).changes;
     if (const auto* list = std::get_if<std::vector<contract::ContractChange>>(&changes)) {
       for (const contract::ContractChange& change : *list) {
@@ -56,7 +56,7 @@
 
   kj::Promise<void> applyNotice(ApplyNoticeContext call) override {
     const auto notice = messages::ReadNotice(call.getParams().getNotice());
-    KJ_REQUIRE(IsOk(notice));
+    KJ_REQUIRE(IsOk(notice), "the notice has another form");
     m_record->notices.push_back(ValueOf(notice));
     return kj::READY_NOW;
   }
--- a/apps/qh-control/test/platform_fake.cc
+++ b/apps/qh-control/test/platform_fake.cc
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <utility>
 
+#include "table_keys.h"
+
 namespace qh::control {
 namespace {
 
@@ -41,6 +43,22 @@
   return count;
 }
 
+void PlatformFake::PutContract(std::uint64_t revision, const std::string& customer,
+                               const json& put_body) {
+  const json value{{"revision", revision},
+                   {"version", revision},
+                   {"customer", customer},
+                   {"operation_id", put_body.at("operation")},
+                   {"author", put_body.at("author")},
+                   {"accepted_us", 0},
+                   {"contract", put_body.at("contract")}};
+  Transact({{"conditions", json::array()},
+            {"writes",
+             {{{"key", "head"}, {"value", {{"revision", revision}}}},
+              {{"key", LogKey(revision)}, {"value", value}},
+              {{"key", ContractKey(customer)}, {"value", value}}}}});
+}
+
 void PlatformFake::Handle(const std::shared_ptr<HttpExchange>& exchange) {
   const bool is_write = exchange->Request().method == "POST";
   switch (fault) {
@@ -65,6 +83,9 @@
     case PlatformFault::kNone:
       break;
   }
+  if (before_answer != nullptr) {
+    before_answer(exchange->Request());
+  }
   exchange->Respond(Answer(exchange->Request()));
 }
 
--- a/apps/qh-control/test/platform_fake.h
+++ b/apps/qh-control/test/platform_fake.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -36,6 +37,12 @@
   PlatformFault fault = PlatformFault::kNone;
   nlohmann::json vms = nlohmann::json::array();
   std::uint64_t transactions_applied = 0;
+  /** Runs before a request is answered, so that a test can change rows between two reads. */
+  std::function<void(const http::HttpRequest&)> before_answer;
+
+  /** Writes the rows of an accepted change, as another VM would. */
+  void PutContract(std::uint64_t revision, const std::string& customer,
+                   const nlohmann::json& put_body);
 
   /** Returns the value of a row, or null. */
   nlohmann::json Value(const std::string& key) const;
