Add qh-capacity, which measures slopes of memory and processor time

docs/CAPACITY.md has to work out each role at the design size from slopes that are measured, not estimated.

--- /dev/null
+++ b/tools/qh-capacity/src/line_fit.cc
@@ -0,0 +1,40 @@
+#include "line_fit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace qh::capacity {
+
+bool LineFit::IsFinite() const noexcept {
+  return std::isfinite(slope) && std::isfinite(intercept) && std::isfinite(residual);
+}
+
+LineFit FitLine(std::span<const SizedValue> points) noexcept {
+  const auto count = static_cast<double>(points.size());
+  double mean_size = 0;
+  double mean_value = 0;
+  for (const SizedValue& point : points) {
+    mean_size += point.size / count;
+    mean_value += point.value / count;
+  }
+  double covariance = 0;
+  double variance = 0;
+  double largest = 0;
+  for (const SizedValue& point : points) {
+    covariance += (point.size - mean_size) * (point.value - mean_value);
+    variance += (point.size - mean_size) * (point.size - mean_size);
+    largest = std::max(largest, std::abs(point.value));
+  }
+  LineFit fit;
+  fit.slope = covariance / variance;
+  fit.intercept = mean_value - fit.slope * mean_size;
+  double squares = 0;
+  for (const SizedValue& point : points) {
+    const double distance = point.value - (fit.slope * point.size + fit.intercept);
+    squares += distance * distance / count;
+  }
+  fit.residual = largest > 0 ? std::sqrt(squares) / largest : std::sqrt(squares);
+  return fit;
+}
+
+}  // namespace qh::capacity
