--- a/tools/qh-capacity/src/all_series.h
+++ b/tools/qh-capacity/src/all_series.h
@@ -18,6 +18,9 @@
 /** Encoding, decoding and applying configuration changes and views. */
 std::vector<Series> ChangeSeries();
 
+/** Member table and gossip messages. */
+std::vector<Series> MembershipSeries();
+
 /** Rate loans between VMs. */
 std::vector<Series> LoanSeries();
 
--- a/tools/qh-capacity/src/main.cc
+++ b/tools/qh-capacity/src/main.cc
@@ -17,6 +17,7 @@
   Append(all, ContractSeries());
   Append(all, CallSeries());
   Append(all, ChangeSeries());
+  Append(all, MembershipSeries());
   Append(all, LoanSeries());
   return all;
 }
