Add scripts/measure-capacity.sh, which measures processes that run

Slopes of modules leave out HTTP, RPC, the event loop and the C library, so the figures of docs/CAPACITY.md have to be checked against processes. The script starts entry VMs with the stand-ins at three sizes, on their own loopback addresses, and reads schedstat, statm and /metrics before and after an idle phase, contract changes and calls. It ends only the processes that it started, by id.

--- /dev/null
+++ b/scripts/measure-capacity.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Measures what docs/CAPACITY.md works with: the slopes of the modules (qh-capacity), then processes
+# that run at a few sizes. Writes build/capacity-slopes.json and build/capacity-processes.json.
+# Arguments go to tools/qh-capacity/measure_processes.py, for example --sizes "3,64,50".
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+build/bin/qh-capacity --json build/capacity-slopes.json
+python3 tools/qh-capacity/measure_processes.py --programs build/bin \
+  --json build/capacity-processes.json "$@"
--- /dev/null
+++ b/tools/qh-capacity/measure_processes.py
@@ -0,0 +1,314 @@
+"""Starts entry VMs with stand-ins at a few sizes and reads what the processes use.
+
+Processor time comes from /proc/<pid>/task/*/schedstat, resident memory from /proc/<pid>/statm, bytes
+and messages from the processes' /metrics. Ends only the processes that it started, by their id.
+"""
+
+import argparse
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+
+TOKEN = "capacity-operator-token"
+NETWORK = "127.83"
+PLATFORM = f"{NETWORK}.0.1:9000"
+WORKER_CONTROL = f"{NETWORK}.0.2:9100"
+LIVE_WORKERS = 16
+PORTS = {"callers": 8000, "entry_admin": 8001, "operators": 8002, "gossip": 8003,
+         "control_rpc": 8004, "entry_rpc": 8005}
+
+
+class Deployment:
+    """Settings files and running processes of one size."""
+
+    def __init__(self, programs, folder, size):
+        self.programs = programs
+        self.folder = folder
+        self.vms, self.workers, self.contracts = size
+        self.running = []
+
+    def address(self, vm, port):
+        return f"{NETWORK}.1.{vm + 1}:{PORTS[port]}"
+
+    def write(self, name, lines):
+        path = os.path.join(self.folder, name)
+        with open(path, "w", encoding="utf-8") as file:
+            file.write("\n".join(lines) + "\n")
+        return path
+
+    def start(self, program, settings):
+        log = open(os.path.join(self.folder, os.path.basename(settings) + f".{program}.log"), "wb")
+        process = subprocess.Popen([os.path.join(self.programs, program), "--settings", settings],
+                                   stdout=log, stderr=log)
+        self.running.append(process)
+        return process
+
+    def end_all(self):
+        for process in self.running:
+            if process.poll() is None:
+                process.send_signal(signal.SIGKILL)
+        for process in self.running:
+            process.wait()
+
+    def worker_name(self, index):
+        return f"{NETWORK}.{100 + index // 250}.{index % 250 + 1}:8080"
+
+    def start_stand_ins(self):
+        platform = ["[platform]", f"listen = {PLATFORM}"]
+        for vm in range(self.vms):
+            platform += [f"[vm e{vm}]", "role = entry", f"zone = z{vm % 3}",
+                         f"ip = {NETWORK}.1.{vm + 1}", "port = 8000", "gossip_port = 8003",
+                         "control_rpc_port = 8004", "entry_rpc_port = 8005"]
+        workers = ["[process]", f"control = {WORKER_CONTROL}"]
+        for index in range(self.workers):
+            ip = self.worker_name(index).split(":")[0]
+            service = f"s{index // LIVE_WORKERS}"
+            platform += [f"[vm w{index}]", "role = worker", f"service = {service}",
+                         f"zone = z{index % 3}", f"ip = {ip}", "port = 8080"]
+            if index < LIVE_WORKERS:
+                workers += [f"[worker w{index}]", f"service = {service}", f"listen = {ip}:8080",
+                            "slots = 64"]
+        workers += ["[route s0 /]", "median_ms = 1", "sigma = 0.1"]
+        self.platform = self.start("qh-standin-platform", self.write("platform.ini", platform))
+        self.start("qh-standin-worker", self.write("workers.ini", workers))
+
+    def start_vm(self, vm):
+        lines = ["[vm]", f"name = e{vm}", f"zone = z{vm % 3}", f"slot = {vm}",
+                 f"vm_count = {self.vms}", "[addresses]"]
+        lines += [f"{port} = {self.address(vm, port)}" for port in PORTS]
+        lines += ["[platform]", f"endpoint = {PLATFORM}", "[keys]",
+                  "deployment_key = capacity-deployment-key", f"operator_token = {TOKEN}",
+                  "[peers]", f"seeds = {self.address(0, 'gossip')}"]
+        settings = self.write(f"vm-e{vm}.ini", lines)
+        return self.start("qh-control", settings), self.start("qh-entry", settings)
+
+    def accept_contract(self, customer, change):
+        body = {"contract": {
+                    "customer": customer, "priority": "normal",
+                    "limits": {"requests_per_second": 1000000 + change, "burst": 200000,
+                               "requests_in_progress": 10000, "retry_share": 0.1,
+                               "max_body_bytes": 262144, "max_response_bytes": 4194304},
+                    "services": [{"name": name, "deadline_ms": 2000,
+                                  "idempotent": ["GET /", "HEAD /"]}
+                                 for name in ("s0", "s1", "s2")]},
+                "operation": f"{customer}-{change}", "author": "capacity"}
+        request = urllib.request.Request(
+            f"http://{self.address(0, 'operators')}/v1/contracts/{customer}", method="PUT",
+            data=json.dumps(body).encode(), headers={"authorization": f"Bearer {TOKEN}"})
+        return json.load(urllib.request.urlopen(request, timeout=10))["revision"]
+
+
+def wait_for(condition, what, seconds=120):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            if condition():
+                return
+        except OSError:
+            pass
+        time.sleep(0.05)
+    raise RuntimeError(f"gave up after {seconds} s: {what}")
+
+
+def read_metrics(address):
+    text = urllib.request.urlopen(f"http://{address}/metrics", timeout=10).read().decode()
+    return {name: float(value) for name, value in re.findall(r"^(qh_\S+) (\S+)$", text, re.M)}
+
+
+def cpu_seconds(process):
+    total = 0
+    for task in os.listdir(f"/proc/{process.pid}/task"):
+        with open(f"/proc/{process.pid}/task/{task}/schedstat", encoding="ascii") as file:
+            total += int(file.read().split()[0])
+    return total / 1e9
+
+
+def resident_mb(process):
+    with open(f"/proc/{process.pid}/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGESIZE") / 1e6
+
+
+def median(values):
+    return sorted(values)[len(values) // 2]
+
+
+def spread(values):
+    return f"{median(values):.4g} ({min(values):.4g} to {max(values):.4g})"
+
+
+class Report:
+    """Prints rows and keeps them for the JSON file."""
+
+    def __init__(self, size):
+        self.rows = {"vms": size[0], "workers": size[1], "contracts": size[2]}
+
+    def add(self, name, unit, values):
+        self.rows[name] = {"unit": unit, "median": median(values), "values": values}
+        print(f"  {name:<44} {spread(values)} {unit}", flush=True)
+
+
+def totals(deployment, kind):
+    """Sum of a counter's labels on each VM's qh-control."""
+    sums = []
+    for vm in range(deployment.vms):
+        metrics = read_metrics(deployment.address(vm, "operators"))
+        sums.append(sum(value for name, value in metrics.items() if name.startswith(kind)))
+    return sums
+
+
+KINDS = ["qh_control_bytes_total{kind=\"gossip\"", "qh_control_bytes_total{kind=\"platform\"",
+         "qh_control_bytes_total{kind=\"peer\"", "qh_control_bytes_total{kind=\"entry\"",
+         "qh_control_messages_total{kind=\"gossip\"", "qh_control_messages_total{kind=\"platform\"",
+         "qh_control_messages_total{kind=\"peer\"", "qh_control_messages_total{kind=\"entry\""]
+
+
+def measure_rates(deployment, vms, report, phase, seconds, during=lambda: None, per=None):
+    """Reads what control and entry use while `during` runs and until `seconds` have passed.
+
+    Messages and bytes are given for each second, or for each of `per` = (number, unit).
+    """
+    before = {kind: totals(deployment, kind) for kind in KINDS}
+    cpu_before = [(cpu_seconds(control), cpu_seconds(entry)) for control, entry in vms]
+    platform_before = cpu_seconds(deployment.platform)
+    start = time.monotonic()
+    during()
+    time.sleep(max(0.0, seconds - (time.monotonic() - start)))
+    passed = time.monotonic() - start
+    cpu_after = [(cpu_seconds(control), cpu_seconds(entry)) for control, entry in vms]
+    platform_after = cpu_seconds(deployment.platform)
+    for index, name in enumerate(("control", "entry")):
+        report.add(f"{phase}.{name}.cpu", "% of a core",
+                   [100 * (after[index] - earlier[index]) / passed
+                    for earlier, after in zip(cpu_before, cpu_after)])
+    report.add(f"{phase}.platform.cpu", "% of a core",
+               [100 * (platform_after - platform_before) / passed])
+    number, unit = per or (passed, "/s")
+    for kind in KINDS:
+        after = totals(deployment, kind)
+        label = kind.replace("qh_control_", "").replace("_total{kind=\"", " ").rstrip("\"")
+        report.add(f"{phase}.control.{label}", unit,
+                   [(late - early) / number for early, late in zip(before[kind], after)])
+
+
+def measure_memory(vms, report, phase):
+    for index, name in enumerate(("control", "entry")):
+        report.add(f"{phase}.{name}.resident", "MB", [resident_mb(pair[index]) for pair in vms])
+
+
+def measure_changes(deployment, vms, report, count):
+    """Changes one contract after the other; times each until every entry has it."""
+    delays = []
+
+    def change():
+        for number in range(count):
+            start = time.monotonic()
+            revision = deployment.accept_contract("c0", number + 1)
+            wait_for(lambda: all(
+                read_metrics(deployment.address(vm, "entry_admin"))["qh_contract_revision"]
+                >= revision for vm in range(deployment.vms)), "change in force everywhere")
+            delays.append(1000 * (time.monotonic() - start))
+
+    measure_rates(deployment, vms, report, "changes", 0, change, (count, "/change"))
+    report.add("changes.in_force_everywhere", "ms", delays)
+
+
+def run_curl(deployment, vms, calls, parallel):
+    """Returns processor time for each call in us, calls a second and the added p99 in ms."""
+    url = f"http://{deployment.address(0, 'callers')}/svc/s0/stock?n=[1-{calls}]"
+    admin = deployment.address(0, "entry_admin")
+    before, cpu = read_metrics(admin), cpu_seconds(vms[0][1])
+    start = time.monotonic()
+    subprocess.run(["curl", "-s", "-Z", "--parallel-max", str(parallel), "-o", "/dev/null",
+                    "-H", "x-qh-customer: c0", url], check=True, stderr=subprocess.DEVNULL)
+    passed = time.monotonic() - start
+    after, used = read_metrics(admin), cpu_seconds(vms[0][1]) - cpu
+    ran = [name for name in after if name.startswith("qh_calls_total") and "\"ran\"" in name]
+    done = sum(after[name] - before.get(name, 0) for name in ran)
+    if done < calls:
+        print(f"  {done:.0f} of {calls} calls ran", flush=True)
+    return 1e6 * used / done, done / passed, 1000 * added_p99(before, after)
+
+
+def measure_calls(deployment, vms, report, calls, runs):
+    """Processor time of one entry for each call, with curl as a closed loop of callers."""
+    for parallel in (4, 40):
+        results = [run_curl(deployment, vms, calls, parallel) for _ in range(runs)]
+        phase = f"calls_{parallel}_at_a_time"
+        report.add(f"{phase}.entry.cpu_per_call", "us", [result[0] for result in results])
+        report.add(f"{phase}.rate", "/s", [result[1] for result in results])
+        report.add(f"{phase}.added_p99_at_most", "ms", [result[2] for result in results])
+
+
+def added_p99(before, after):
+    """Upper edge of the bucket that holds the 99th percentile of the time added to calls."""
+    buckets = []
+    for name, value in after.items():
+        match = re.match(r'qh_call_added_seconds_bucket\{.*le="([^"]+)"\}', name)
+        if match:
+            buckets.append((float(match[1].replace("+Inf", "inf")), value - before.get(name, 0)))
+    buckets.sort()
+    return next((edge for edge, count in buckets if count >= 0.99 * buckets[-1][1]), float("nan"))
+
+
+def start_all(deployment, report):
+    deployment.start_stand_ins()
+    vms = [deployment.start_vm(0)]
+    wait_for(lambda: read_metrics(deployment.address(0, "operators")), "first qh-control")
+    for number in range(deployment.contracts):
+        deployment.accept_contract(f"c{number}", 0)
+    start = time.monotonic()
+    vms += [deployment.start_vm(vm) for vm in range(1, deployment.vms)]
+    wait_for(lambda: all(read_metrics(deployment.address(vm, "entry_admin"))
+                         .get("qh_contract_revision", 0) >= deployment.contracts
+                         for vm in range(deployment.vms)), "all contracts on all VMs")
+    report.add("start.contracts_everywhere", "s", [time.monotonic() - start])
+    report.add("start.entry.cpu_total", "s", [cpu_seconds(entry) for _, entry in vms[1:]])
+    report.add("start.control.cpu_total", "s", [cpu_seconds(control) for control, _ in vms[1:]])
+    # Rate shares are used only some seconds after the start of a process; loads settle meanwhile.
+    time.sleep(6)
+    return vms
+
+
+def measure_size(programs, size, options):
+    print(f"{size[0]} entry VMs, {size[1]} workers, {size[2]} contracts", flush=True)
+    report = Report(size)
+    with tempfile.TemporaryDirectory(prefix="qh-capacity-") as folder:
+        deployment = Deployment(programs, folder, size)
+        try:
+            vms = start_all(deployment, report)
+            measure_memory(vms, report, "idle")
+            measure_rates(deployment, vms, report, "idle", options.seconds)
+            measure_changes(deployment, vms, report, options.changes)
+            measure_calls(deployment, vms, report, options.calls, options.runs)
+            measure_memory(vms, report, "after_calls")
+        finally:
+            deployment.end_all()
+    return report.rows
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--programs", default="build/bin", help="folder of the programs")
+    parser.add_argument("--sizes", default="3,64,50 6,512,200 12,2048,1000",
+                        help="entry VMs, workers, contracts of each size")
+    parser.add_argument("--seconds", type=float, default=20, help="length of the idle phase in s")
+    parser.add_argument("--changes", type=int, default=20, help="contract changes at each size")
+    parser.add_argument("--calls", type=int, default=20000, help="calls of one run")
+    parser.add_argument("--runs", type=int, default=5, help="runs of calls; the median counts")
+    parser.add_argument("--json", help="also write the results to this file")
+    options = parser.parse_args()
+    results = [measure_size(options.programs, tuple(map(int, size.split(","))), options)
+               for size in options.sizes.split()]
+    if options.json:
+        with open(options.json, "w", encoding="utf-8") as file:
+            json.dump(results, file, indent=1)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tools/qh-capacity/src/series_workers.cc
+++ b/tools/qh-capacity/src/series_workers.cc
@@ -19,6 +19,7 @@
 constexpr UnixMicros kStamp = 1'796'378'000'000'000;
 const std::vector<std::size_t> kMemoryCounts{512, 1024, 2048, 4096};
 const std::vector<std::size_t> kTimeCounts{256, 512, 1024, 2048};
+const std::vector<std::size_t> kVmCounts{15, 75, 150, 300, 600};
 /** Filling a table takes about a second for each 1,000 workers at 300 VMs. */
 constexpr int kSlowRepeats = 3;
 
@@ -85,6 +86,24 @@
          kUpdates;
 }
 
+/** Connections to each worker of a service that one VM may open, by the number of entry VMs. */
+double ConnectionsPerWorker(std::size_t vms) {
+  routing::WorkerTableOptions options;
+  options.subset.vm_count = static_cast<int>(vms);
+  WorkerTable table(options);
+  Fill(table, SampleWorkers(kWorkersPerService), kStamp);
+  return table.ConnectionsPerWorker(ServiceName(0));
+}
+
+/** Workers of a service that one VM uses, by the number of entry VMs. */
+double SubsetSize(std::size_t vms) {
+  routing::WorkerTableOptions options;
+  options.subset.vm_count = static_cast<int>(vms);
+  WorkerTable table(options);
+  Fill(table, SampleWorkers(kWorkersPerService), kStamp);
+  return static_cast<double>(table.Candidates(ServiceName(0)).size());
+}
+
 /** Queue, classifier entries and one route of each service. */
 double ServiceBytes(std::size_t services) {
   return BytesOf([&] {
@@ -136,7 +155,9 @@
           {"worker.add", "worker", "us", kTimeCounts, AddMicros, kSlowRepeats},
           {"worker.refresh", "worker", "us", kTimeCounts, RefreshMicros, kSlowRepeats},
           {"worker.leave", "worker", "us", kTimeCounts, LeaveMicros, kSlowRepeats},
-          {"worker.subset_update", "entry VM", "us", {75, 150, 300, 600}, SubsetMicros},
+          {"worker.subset_update", "entry VM", "us", kVmCounts, SubsetMicros},
+          {"worker.connections", "entry VM", "connections", kVmCounts, ConnectionsPerWorker, 1},
+          {"worker.subset_size", "entry VM", "workers", kVmCounts, SubsetSize, 1},
           {"service.memory", "service", "B", {64, 128, 192, 250}, ServiceBytes},
           {"route.memory", "route", "B", {128, 256, 512, 1024}, RouteBytes},
           {"call.select", "selection", "us", operations, SelectMicros}};
