measure-capacity: wait for the platform before contracts are accepted

With 512 workers in its settings the platform stand-in took longer to listen than qh-control, and the first contract was refused with 503 (platform_unavailable), as documented. The first contract is now repeated, with the same operation identifier, until it is accepted.

--- a/tools/qh-capacity/measure_processes.py
+++ b/tools/qh-capacity/measure_processes.py
@@ -103,6 +103,13 @@
             data=json.dumps(body).encode(), headers={"authorization": f"Bearer {TOKEN}"})
         return json.load(urllib.request.urlopen(request, timeout=10))["revision"]
 
+    def load_contracts(self):
+        """Has all contracts accepted; the first one is repeated until the platform answers."""
+        wait_for(lambda: urllib.request.urlopen(f"http://{PLATFORM}/v1/vms", timeout=1), "platform")
+        wait_for(lambda: self.accept_contract("c0", 0), "first contract")
+        for number in range(1, self.contracts):
+            self.accept_contract(f"c{number}", 0)
+
 
 def wait_for(condition, what, seconds=120):
     end = time.monotonic() + seconds
@@ -260,8 +267,7 @@
     deployment.start_stand_ins()
     vms = [deployment.start_vm(0)]
     wait_for(lambda: read_metrics(deployment.address(0, "operators")), "first qh-control")
-    for number in range(deployment.contracts):
-        deployment.accept_contract(f"c{number}", 0)
+    deployment.load_contracts()
     start = time.monotonic()
     vms += [deployment.start_vm(vm) for vm in range(1, deployment.vms)]
     wait_for(lambda: all(read_metrics(deployment.address(vm, "entry_admin"))
