--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -82,11 +82,14 @@
 token=$work/operator.token
 ctl() { "$bin/qhctl" --operators "$operators" --token-file "$token" "$@"; }
 
-# The entry VMs need a moment to find the platform and each other.
-for _ in $(seq 100); do
-  ctl status >/dev/null 2>&1 && break
+live_vms() { ctl status 2>/dev/null | awk '$4 == "live" { count++ } END { print count + 0 }'; }
+
+# A VM takes calls 3.2 s after its start at the earliest, when loans of a predecessor have ended.
+for _ in $(seq 150); do
+  [ "$(live_vms)" -eq "${#vm_files[@]}" ] && break
   sleep 0.2
 done
+[ "$(live_vms)" -eq "${#vm_files[@]}" ] || fail "only $(live_vms) of ${#vm_files[@]} entry VMs are live"
 for contract in "$work"/contracts/*.ini; do
   ctl contract apply "$contract" --wait || fail "contract $contract was not accepted"
 done
