--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -28,71 +28,11 @@
 scripts/packages.sh
 scripts/build.sh build
 bin=$PWD/build/bin
-work=$(mktemp -d)
-pids=()
-
-stop_all() {
-  local pid
-  for pid in "${pids[@]}"; do
-    kill -TERM "$pid" 2>/dev/null || true
-  done
-  # A planned stop may take as long as callers keep addresses; here no caller is left.
-  for pid in "${pids[@]}"; do
-    for _ in $(seq 100); do
-      kill -0 "$pid" 2>/dev/null || break
-      sleep 0.1
-    done
-    kill -KILL "$pid" 2>/dev/null || true
-    wait "$pid" 2>/dev/null || true
-  done
-}
-trap stop_all EXIT
-
-# start NAME PROGRAM ARGUMENT...: starts a program in the background, with its log in $work.
-start() {
-  local name=$1
-  shift
-  "$@" >"$work/$name.log" 2>&1 &
-  pids+=($!)
-  last_pid=$!
-}
-
-fail() {
-  echo "demo.sh: $1 (logs in $work)" >&2
-  exit 1
-}
-
-value_of() { sed -n "s/^$2 = //p" "$1"; }
+source scripts/deployment.sh
 
 "$bin/qh-deployment" --settings "examples/$deployment.ini" --out "$work"
-start platform "$bin/qh-standin-platform" --settings "$work/platform.ini"
-start workers "$bin/qh-standin-worker" --settings "$work/workers.ini"
-
-mapfile -t vm_files < <(ls "$work"/vm-*.ini)
-declare -A entry_pid control_pid
-for file in "${vm_files[@]}"; do
-  vm=$(value_of "$file" name)
-  start "$vm-control" "$bin/qh-control" --settings "$file"
-  control_pid[$vm]=$last_pid
-  start "$vm-entry" "$bin/qh-entry" --settings "$file"
-  entry_pid[$vm]=$last_pid
-done
-
-operators=$(for file in "${vm_files[@]}"; do value_of "$file" operators; done | paste -sd ,)
-token=$work/operator.token
-ctl() { "$bin/qhctl" --operators "$operators" --token-file "$token" "$@"; }
-
-live_vms() { ctl status 2>/dev/null | awk '$4 == "live" { count++ } END { print count + 0 }'; }
-
-# A VM takes calls 3.2 s after its start at the earliest, when loans of a predecessor have ended.
-for _ in $(seq 150); do
-  [ "$(live_vms)" -eq "${#vm_files[@]}" ] && break
-  sleep 0.2
-done
-[ "$(live_vms)" -eq "${#vm_files[@]}" ] || fail "only $(live_vms) of ${#vm_files[@]} entry VMs are live"
-for contract in "$work"/contracts/*.ini; do
-  ctl contract apply "$contract" --wait || fail "contract $contract was not accepted"
-done
+start_deployment
+apply_contracts
 
 load_arguments=(--settings "$load_file" --topology "$work/topology.ini")
 [ -z "$json_file" ] || load_arguments+=(--json "$json_file")
