Make the demo wait for all entry VMs and refuse a deployment that runs already

Two runs of one deployment share its addresses: the entry VMs of a second run joined the fleet of the first, and qh-load then found 1,038 calls that the wrong workers had counted. The script now stops before it starts an entry VM if a stand-in cannot listen; tried against a run that was active.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -62,11 +62,32 @@
   exit 1
 }
 
+# wait_until_listening NAME: an address in use means that another run of this deployment is active;
+# entry VMs started now would join its fleet.
+wait_until_listening() {
+  for _ in $(seq 50); do
+    ! grep -q 'step=listen .*address already in use' "$work/$1.log" ||
+      fail "an address of $1 is in use: does this deployment run already?"
+    ! grep -q ' info .*step=listen ' "$work/$1.log" || return 0
+    sleep 0.1
+  done
+  fail "$1 does not listen after 5 s"
+}
+
+require_running() {
+  local pid
+  for pid in "${pids[@]}"; do
+    kill -0 "$pid" 2>/dev/null || fail "process $pid ended before the load began"
+  done
+}
+
 value_of() { sed -n "s/^$2 = //p" "$1"; }
 
 "$bin/qh-deployment" --settings "examples/$deployment.ini" --out "$work"
 start platform "$bin/qh-standin-platform" --settings "$work/platform.ini"
+wait_until_listening platform
 start workers "$bin/qh-standin-worker" --settings "$work/workers.ini"
+wait_until_listening workers
 
 mapfile -t vm_files < <(ls "$work"/vm-*.ini)
 declare -A entry_pid control_pid
@@ -82,11 +103,21 @@
 token=$work/operator.token
 ctl() { "$bin/qhctl" --operators "$operators" --token-file "$token" "$@"; }
 
-# The entry VMs need a moment to find the platform and each other.
-for _ in $(seq 100); do
-  ctl status >/dev/null 2>&1 && break
-  sleep 0.2
-done
+# Prints the number of entry VMs that the first one to answer holds for live.
+live_vms() {
+  { ctl status --json 2>/dev/null || true; } | { grep -o '"state":"live"' || true; } | wc -l
+}
+
+wait_for_all_vms() {
+  for _ in $(seq 100); do
+    [ "$(live_vms)" -eq "${#vm_files[@]}" ] && return
+    sleep 0.2
+  done
+  fail "$(live_vms) of ${#vm_files[@]} entry VMs are live after 20 s"
+}
+
+wait_for_all_vms
+require_running
 for contract in "$work"/contracts/*.ini; do
   ctl contract apply "$contract" --wait || fail "contract $contract was not accepted"
 done
