measure-capacity: use qh-load as open-loop callers

The time that entries were ready but waited for a processor is reported beside, so that a busy machine can be told from a slow entry. Calls with a key (POST) are a case of their own.

--- a/tools/qh-capacity/measure_processes.py
+++ b/tools/qh-capacity/measure_processes.py
@@ -128,14 +128,19 @@
     return {name: float(value) for name, value in re.findall(r"^(qh_\S+) (\S+)$", text, re.M)}
 
 
-def cpu_seconds(process):
+def schedule_seconds(process, field):
+    """Sum over the threads: field 0 is time on a processor, field 1 time ready but waiting for one."""
     total = 0
     for task in os.listdir(f"/proc/{process.pid}/task"):
         with open(f"/proc/{process.pid}/task/{task}/schedstat", encoding="ascii") as file:
-            total += int(file.read().split()[0])
+            total += int(file.read().split()[field])
     return total / 1e9
 
 
+def cpu_seconds(process):
+    return schedule_seconds(process, 0)
+
+
 def resident_mb(process):
     with open(f"/proc/{process.pid}/statm", encoding="ascii") as file:
         return int(file.read().split()[1]) * os.sysconf("SC_PAGESIZE") / 1e6
@@ -225,42 +230,67 @@
     report.add("changes.in_force_everywhere", "ms", delays)
 
 
-def run_curl(deployment, vms, calls, parallel):
-    """Returns processor time for each call in us, calls a second and the added p99 in ms."""
-    url = f"http://{deployment.address(0, 'callers')}/svc/s0/stock?n=[1-{calls}]"
-    admin = deployment.address(0, "entry_admin")
-    before, cpu = read_metrics(admin), cpu_seconds(vms[0][1])
+def entry_totals(deployment):
+    """Calls that ran and the buckets of the added time, summed over all entries."""
+    ran, buckets = 0.0, {}
+    for vm in range(deployment.vms):
+        for name, value in read_metrics(deployment.address(vm, "entry_admin")).items():
+            if name.startswith("qh_calls_total") and '"ran"' in name:
+                ran += value
+            match = re.match(r'qh_call_added_seconds_bucket\{.*le="([^"]+)"\}', name)
+            if match:
+                edge = float(match[1].replace("+Inf", "inf"))
+                buckets[edge] = buckets.get(edge, 0.0) + value
+    return ran, buckets
+
+
+def run_load(deployment, vms, scenario, topology):
+    """Returns for each call the entries' processor time and wait for a processor in us, then calls a
+    second and the 99th percentile of the added time in ms."""
+    ran, buckets = entry_totals(deployment)
+    cpu, wait = (sum(schedule_seconds(entry, field) for _, entry in vms) for field in (0, 1))
     start = time.monotonic()
-    subprocess.run(["curl", "-s", "-Z", "--parallel-max", str(parallel), "-o", "/dev/null",
-                    "-H", "x-qh-customer: c0", url], check=True, stderr=subprocess.DEVNULL)
+    result = subprocess.run([os.path.join(deployment.programs, "qh-load"), "--settings", scenario,
+                             "--topology", topology], check=False, capture_output=True)
     passed = time.monotonic() - start
-    after, used = read_metrics(admin), cpu_seconds(vms[0][1]) - cpu
-    ran = [name for name in after if name.startswith("qh_calls_total") and "\"ran\"" in name]
-    done = sum(after[name] - before.get(name, 0) for name in ran)
-    if done < calls:
-        print(f"  {done:.0f} of {calls} calls ran", flush=True)
-    return 1e6 * used / done, done / passed, 1000 * added_p99(before, after)
-
-
-def measure_calls(deployment, vms, report, calls, runs):
-    """Processor time of one entry for each call, with curl as a closed loop of callers."""
-    for parallel in (4, 40):
-        results = [run_curl(deployment, vms, calls, parallel) for _ in range(runs)]
-        phase = f"calls_{parallel}_at_a_time"
-        report.add(f"{phase}.entry.cpu_per_call", "us", [result[0] for result in results])
-        report.add(f"{phase}.rate", "/s", [result[1] for result in results])
-        report.add(f"{phase}.added_p99_at_most", "ms", [result[2] for result in results])
+    used = sum(cpu_seconds(entry) for _, entry in vms) - cpu
+    waited = sum(schedule_seconds(entry, 1) for _, entry in vms) - wait
+    ran_after, buckets_after = entry_totals(deployment)
+    done = ran_after - ran
+    if result.returncode != 0 or done == 0:
+        print(f"  qh-load: exit code {result.returncode}, {done:.0f} calls ran", flush=True)
+        print(result.stderr.decode()[-500:], result.stdout.decode()[-500:], flush=True)
+    calls = max(done, 1)
+    return (1e6 * used / calls, 1e6 * waited / calls, done / passed,
+            1000 * added_p99(buckets, buckets_after))
+
+
+def measure_calls(deployment, vms, report, options):
+    """Processor time of the entries for each call, with qh-load as open-loop callers."""
+    topology = ["[topology]", f"worker_control = {WORKER_CONTROL}"]
+    for vm in range(deployment.vms):
+        topology += [f"[entry e{vm}]", f"callers = {deployment.address(vm, 'callers')}"]
+    topology += ["[worker w0]", "service = s0", f"listen = {deployment.worker_name(0)}"]
+    topology_file = deployment.write("topology.ini", topology)
+    for method, rate in (("GET", 500), ("GET", 1000), ("GET", 2000), ("GET", 4000), ("POST", 500)):
+        scenario = deployment.write("scenario.ini", [
+            "[load]", "direct_share = 0", "[phase steady]", f"duration = {options.load_seconds} s",
+            f"rate = {rate}", "[mix calls]", "service = s0", f"method = {method}", "path = /stock",
+            "customers = c0", "deadline = 2 s", f"body_bytes = {0 if method == 'GET' else 256}"])
+        results = [run_load(deployment, vms, scenario, topology_file)
+                   for _ in range(options.runs)]
+        phase = f"calls.{method}_{rate}"
+        report.add(f"{phase}.entries.cpu_per_call", "us", [result[0] for result in results])
+        report.add(f"{phase}.entries.wait_for_cpu_per_call", "us",
+                   [result[1] for result in results])
+        report.add(f"{phase}.rate", "/s", [result[2] for result in results])
+        report.add(f"{phase}.added_p99_at_most", "ms", [result[3] for result in results])
 
 
 def added_p99(before, after):
     """Upper edge of the bucket that holds the 99th percentile of the time added to calls."""
-    buckets = []
-    for name, value in after.items():
-        match = re.match(r'qh_call_added_seconds_bucket\{.*le="([^"]+)"\}', name)
-        if match:
-            buckets.append((float(match[1].replace("+Inf", "inf")), value - before.get(name, 0)))
-    buckets.sort()
-    return next((edge for edge, count in buckets if count >= 0.99 * buckets[-1][1]), float("nan"))
+    counts = [(edge, after[edge] - before.get(edge, 0.0)) for edge in sorted(after)]
+    return next((edge for edge, count in counts if count >= 0.99 * counts[-1][1]), float("nan"))
 
 
 def start_all(deployment, report):
@@ -274,8 +304,8 @@
                          .get("qh_contract_revision", 0) >= deployment.contracts
                          for vm in range(deployment.vms)), "all contracts on all VMs")
     report.add("start.contracts_everywhere", "s", [time.monotonic() - start])
-    report.add("start.entry.cpu_total", "s", [cpu_seconds(entry) for _, entry in vms[1:]])
-    report.add("start.control.cpu_total", "s", [cpu_seconds(control) for control, _ in vms[1:]])
+    report.add("start.entry.cpu_total", "s", [cpu_seconds(entry) for _, entry in vms[1:] or vms])
+    report.add("start.control.cpu_total", "s", [cpu_seconds(control) for control, _ in vms[1:] or vms])
     # Rate shares are used only some seconds after the start of a process; loads settle meanwhile.
     time.sleep(6)
     return vms
@@ -291,7 +321,7 @@
             measure_memory(vms, report, "idle")
             measure_rates(deployment, vms, report, "idle", options.seconds)
             measure_changes(deployment, vms, report, options.changes)
-            measure_calls(deployment, vms, report, options.calls, options.runs)
+            measure_calls(deployment, vms, report, options)
             measure_memory(vms, report, "after_calls")
         finally:
             deployment.end_all()
@@ -301,12 +331,12 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--programs", default="build/bin", help="folder of the programs")
-    parser.add_argument("--sizes", default="3,64,50 6,512,200 12,2048,1000",
+    parser.add_argument("--sizes", default="1,64,50 3,64,50 6,512,200 12,2048,1000",
                         help="entry VMs, workers, contracts of each size")
     parser.add_argument("--seconds", type=float, default=20, help="length of the idle phase in s")
     parser.add_argument("--changes", type=int, default=20, help="contract changes at each size")
-    parser.add_argument("--calls", type=int, default=20000, help="calls of one run")
-    parser.add_argument("--runs", type=int, default=5, help="runs of calls; the median counts")
+    parser.add_argument("--load-seconds", type=int, default=5, help="length of one run of calls")
+    parser.add_argument("--runs", type=int, default=3, help="runs of calls; the median counts")
     parser.add_argument("--json", help="also write the results to this file")
     options = parser.parse_args()
     results = [measure_size(options.programs, tuple(map(int, size.split(","))), options)
