--- a/apps/qh-entry/src/call_service.cc
+++ b/apps/qh-entry/src/call_service.cc
@@ -64,18 +64,23 @@
     Refuse(exchange, *error);
     return;
   }
-  if (m_state == ServiceState::kNotReady) {
-    Refuse(exchange, {CallErrorCode::kNotReady, "this VM does not take calls yet", {}});
-    return;
-  }
-  if (m_state == ServiceState::kStopped) {
-    Refuse(exchange, {CallErrorCode::kShuttingDown, "this VM is stopping", {}});
-    return;
-  }
   ++m_in_progress;
   std::make_shared<CallTask>(*this, exchange, std::get<CallRequest>(std::move(parsed)))->Begin();
 }
 
+std::optional<CallError> CallService::RefusalByState() const {
+  switch (m_state) {
+    case ServiceState::kNotReady:
+      return CallError{CallErrorCode::kNotReady, "this VM does not take calls yet", {}};
+    case ServiceState::kStopped:
+      return CallError{CallErrorCode::kShuttingDown, "this VM is stopping", {}};
+    case ServiceState::kServing:
+    case ServiceState::kDraining:
+      break;
+  }
+  return std::nullopt;
+}
+
 void CallService::HandleAddresses(const std::shared_ptr<http::HttpExchange>& exchange) {
   const std::string& path = exchange->Request().path;
   AddressQuery query;
--- a/apps/qh-entry/src/call_service.h
+++ b/apps/qh-entry/src/call_service.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "address_book.h"
@@ -69,6 +70,9 @@
   /** Returns whether calls of this service and class are waiting already. */
   bool HasQueue(const std::string& service, routing::WorkClass work_class) const;
 
+  /** Returns why no new call is taken now, or nothing. */
+  std::optional<CallError> RefusalByState() const;
+
   /** Returns what the calls share. */
   CallContext& Context() noexcept { return m_context; }
 
--- a/apps/qh-entry/src/call_task.cc
+++ b/apps/qh-entry/src/call_task.cc
@@ -93,21 +93,40 @@
       m_deadline(m_started) {}
 
 void CallTask::Begin() {
-  std::optional<CallError> error = CheckContract();
+  m_contract = m_context.book.Find(m_call.customer);
+  m_idempotent = m_contract != nullptr &&
+                 m_contract->IsIdempotent(m_call.service, m_call.method, m_call.target);
+  if (m_idempotent || m_call.key.empty()) {
+    CheckAndStart();
+    return;
+  }
+  // An earlier request with this key may have run, so that no check may answer "not run" before
+  // the key's state is known.
+  BeginKey();
+}
+
+void CallTask::BeginKey() {
+  m_context.keys.Begin(m_call, [self = shared_from_this()](const KeyDecision& decision) {
+    self->OnKeyDecision(decision);
+  });
+}
+
+void CallTask::CheckAndStart() {
+  std::optional<CallError> error = m_service.RefusalByState();
+  if (!error.has_value()) {
+    error = CheckContract();
+  }
   if (!error.has_value()) {
     error = CheckQuarantine();
   }
   if (error.has_value()) {
     Fail(*error);
-    return;
-  }
-  if (m_idempotent) {
+  } else if (m_idempotent || m_ticket.has_value()) {
     AdmitAndStart();
-    return;
+  } else {
+    // The request has no key; this names the error.
+    BeginKey();
   }
-  m_context.keys.Begin(m_call, [self = shared_from_this()](const KeyDecision& decision) {
-    self->OnKeyDecision(decision);
-  });
 }
 
 std::optional<CallError> CallTask::CheckContract() {
@@ -116,7 +135,6 @@
                      "neither the platform nor another VM confirms the contracts",
                      {}};
   }
-  m_contract = m_context.book.Find(m_call.customer);
   if (m_contract == nullptr) {
     return CallError{CallErrorCode::kUnknownCustomer, "no contract for this customer", {}};
   }
@@ -129,7 +147,6 @@
         CallErrorCode::kBodyTooLarge, "the body is longer than the contract allows", {}};
   }
   m_deadline = retries::DeadlineOf(m_started, terms->deadline, m_call.time_left);
-  m_idempotent = m_contract->IsIdempotent(m_call.service, m_call.method, m_call.target);
   m_route = routing::RouteOf(m_call.service, m_call.method, m_call.target);
   m_profile = m_context.workers.ProfileOf(m_route);
   if (!m_context.workers.HasLiveWorker(m_call.service)) {
@@ -150,7 +167,7 @@
 void CallTask::OnKeyDecision(const KeyDecision& decision) {
   if (const auto* begun = std::get_if<KeyBegun>(&decision)) {
     m_ticket = begun->ticket;
-    AdmitAndStart();
+    CheckAndStart();
   } else if (const auto* replay = std::get_if<idempotency::KeyReplay>(&decision)) {
     Answer(FromStored(*replay->response), Outcome::kRan, "replayed");
   } else {
@@ -201,6 +218,8 @@
   attempt.route = m_route;
   attempt.profile = m_profile;
   attempt.max_response_bytes = static_cast<std::size_t>(m_contract->limits.max_response_bytes);
+  // The first attempt may have met a silent connection, and there is no third attempt.
+  attempt.new_connection = m_attempts > 1;
   m_context.events.Add("attempt_started", m_request_id, m_call.customer, worker, m_call.service);
   const std::uint64_t number = m_context.workers.StartAttempt(
       std::move(attempt), [self = shared_from_this(), worker](AttemptResult result) {
--- a/apps/qh-entry/src/call_task.h
+++ b/apps/qh-entry/src/call_task.h
@@ -36,6 +36,8 @@
   routing::WorkClass WorkClass() const noexcept { return m_profile.work_class; }
 
  private:
+  void BeginKey();
+  void CheckAndStart();
   std::optional<CallError> CheckContract();
   std::optional<CallError> CheckQuarantine() const;
   void OnKeyDecision(const KeyDecision& decision);
--- a/apps/qh-entry/src/worker_pool.cc
+++ b/apps/qh-entry/src/worker_pool.cc
@@ -279,13 +279,17 @@
     ActiveAttempt& active = attempts[number];
     active.attempt = std::move(attempt);
     active.callback = std::move(callback);
-    active.call = connection.client->Start(
-        request, active.attempt.timeout,
-        [self = weak_from_this(), number, started, own_in_progress](http::HttpCallResult result) {
-          if (const std::shared_ptr<Impl> impl = self.lock()) {
-            impl->OnCallEnd(number, started, own_in_progress, std::move(result));
-          }
-        });
+    http::HttpClient::Callback on_end = [self = weak_from_this(), number, started,
+                                         own_in_progress](http::HttpCallResult result) {
+      if (const std::shared_ptr<Impl> impl = self.lock()) {
+        impl->OnCallEnd(number, started, own_in_progress, std::move(result));
+      }
+    };
+    active.call =
+        active.attempt.new_connection
+            ? connection.client->StartOnNewConnection(request, active.attempt.timeout,
+                                                      std::move(on_end))
+            : connection.client->Start(request, active.attempt.timeout, std::move(on_end));
     return number;
   }
 
--- a/apps/qh-entry/src/worker_pool.h
+++ b/apps/qh-entry/src/worker_pool.h
@@ -41,6 +41,8 @@
   routing::Route route;
   routing::RouteProfile profile;
   std::size_t max_response_bytes = 0;
+  /** Whether an idle connection must not be used, because it may be silent. */
+  bool new_connection = false;
 };
 
 /** How an attempt ended. */
--- a/test/system/test_deployment.cc
+++ b/test/system/test_deployment.cc
@@ -58,6 +58,7 @@
   m_controls.clear();
   m_workers.reset();
   m_platform.reset();
+  m_proxy.reset();
   m_clients.clear();
   // The logs are kept when QH_KEEP_LOGS is set, to look into a failed test.
   if (std::getenv("QH_KEEP_LOGS") == nullptr) {
@@ -66,6 +67,9 @@
 }
 
 void TestDeployment::StartAndServe(const std::string& customer) {
+  if (m_options.fault_proxy) {
+    m_proxy = Start("qh-fault-proxy", "proxy.ini", "proxy.log");
+  }
   StartPlatform();
   StartWorkers();
   for (int vm = 0; vm < m_options.vms; ++vm) {
@@ -222,6 +226,34 @@
   PostJson(Platform(), "/standin/faults", faults);
 }
 
+void TestDeployment::SetProxyFaults(const json& faults) {
+  PostJson(ProxyControl(), "/standin/faults", faults);
+}
+
+int TestDeployment::ProxyConnections(const std::string& prefix) {
+  int sum = 0;
+  const json open = GetJson(ProxyControl(), "/standin/state")["open_connections"];
+  for (const auto& [route, count] : open.items()) {
+    sum += route.starts_with(prefix) ? count.get<int>() : 0;
+  }
+  return sum;
+}
+
+bool TestDeployment::Drain(int vm) {
+  const json body{{"vm", "vm-" + std::to_string(vm)}};
+  return Send(Operators(vm), {"POST",
+                              "/v1/drain",
+                              {{"authorization", std::string("Bearer ") + kOperatorToken}},
+                              body.dump()})
+             .status == 202;
+}
+
+std::string TestDeployment::LogOf(const std::string& name) const {
+  std::ostringstream text;
+  text << std::ifstream(File(name)).rdbuf();
+  return text.str();
+}
+
 void TestDeployment::ChangeVmList(const json& change) {
   PostJson(Platform(), "/standin/vms", change);
 }
@@ -269,6 +301,9 @@
   std::ofstream workers(File("workers.ini"));
   platform << "[platform]\nlisten = " << ToString(Platform()) << "\n";
   workers << "[process]\ncontrol = " << ToString(WorkerControl()) << "\n";
+  if (m_options.fault_proxy) {
+    WriteProxySettings();
+  }
   int group = 2;
   for (const ServiceSpec& service : m_options.services) {
     for (int i = 0; i < service.workers; ++i) {
@@ -277,9 +312,12 @@
       workers << "[worker " << name << "]\nservice = " << service.name << "\nlisten = " << ip
               << ":7000\n";
       platform << "[vm " << name << "]\nrole = worker\nservice = " << service.name
-               << "\nzone = zone-" << i % 2 << "\nip = " << ip << "\nport = 7000\n";
+               << "\nzone = zone-" << i % 2 << "\nip = " << ListedWorkerIp(group, i + 1)
+               << "\nport = 7000\n";
+    }
+    if (service.workers > 0) {
+      workers << "[route " << service.name << " /]\nmedian_ms = " << service.median_ms << "\n";
     }
-    workers << "[route " << service.name << " /]\nmedian_ms = " << service.median_ms << "\n";
     ++group;
   }
   for (int vm = 0; vm < m_options.vms; ++vm) {
@@ -291,6 +329,22 @@
   }
 }
 
+void TestDeployment::WriteProxySettings() const {
+  std::ofstream proxy(File("proxy.ini"));
+  proxy << "[proxy]\ncontrol = " << ToString(ProxyControl())
+        << "\n[route platform]\nlisten = " << ToString(PlatformForVms())
+        << "\nupstream = " << ToString(Platform()) << "\n";
+  int group = 2;
+  for (const ServiceSpec& service : m_options.services) {
+    for (int i = 0; i < service.workers; ++i) {
+      proxy << "[route " << service.name << "-" << i
+            << "]\nlisten = " << ListedWorkerIp(group, i + 1)
+            << ":7000\nupstream = " << Ip(group, i + 1) << ":7000\n";
+    }
+    ++group;
+  }
+}
+
 void TestDeployment::WriteVmSettings(int vm) const {
   std::ofstream file(File("vm" + std::to_string(vm) + ".ini"));
   const std::string ip = VmIp(vm);
@@ -298,7 +352,7 @@
        << "\nvm_count = " << m_options.vms << "\n[addresses]\ncallers = " << ip
        << ":8000\nentry_admin = " << ip << ":8001\noperators = " << ip << ":8002\ngossip = " << ip
        << ":8003\ncontrol_rpc = " << ip << ":8004\nentry_rpc = " << ip
-       << ":8005\n[platform]\nendpoint = " << ToString(Platform())
+       << ":8005\n[platform]\nendpoint = " << ToString(PlatformForVms())
        << "\n[keys]\ndeployment_key = key-of-the-test-deployment\noperator_token = "
        << kOperatorToken << "\n[peers]\nseeds = ";
   for (int other = 0; other < m_options.vms; ++other) {
@@ -310,9 +364,12 @@
 std::unique_ptr<ChildProcess> TestDeployment::Start(const std::string& program,
                                                     const std::string& settings,
                                                     const std::string& log) const {
+  // Set to run the same tests against programs built elsewhere, such as ones without a mechanism.
+  const char* folder = std::getenv("QH_TEST_BINARY_DIR");
   return std::make_unique<ChildProcess>(
-      std::vector<std::string>{std::string(QH_BINARY_DIR) + "/" + program, "--settings",
-                               File(settings)},
+      std::vector<std::string>{
+          std::string(folder == nullptr ? QH_BINARY_DIR : folder) + "/" + program, "--settings",
+          File(settings)},
       File(log));
 }
 
--- a/test/system/test_deployment.h
+++ b/test/system/test_deployment.h
@@ -31,6 +31,8 @@
   std::vector<ServiceSpec> services{{"katalog", 3, 3}, {"pesanan", 3, 3}};
   /** Lines added to each VM's settings file. */
   std::string extra_settings;
+  /** Whether the workers and the platform are reached through qh-fault-proxy. */
+  bool fault_proxy = false;
 };
 
 /** An answer to a call, or how it failed. */
@@ -100,6 +102,18 @@
   void SetWorkerFaults(const nlohmann::json& faults);
   void SetPlatformFaults(const nlohmann::json& faults);
 
+  /** Switches faults of the proxy; its routes are "platform" and the names of the workers. */
+  void SetProxyFaults(const nlohmann::json& faults);
+
+  /** Returns the number of open connections through the proxy whose route starts with `prefix`. */
+  int ProxyConnections(const std::string& prefix);
+
+  /** Asks `vm` to drain through the operators' interface; returns whether it agreed. */
+  bool Drain(int vm);
+
+  /** Returns what a process has logged, by the name of its file, such as "entry0.log". */
+  std::string LogOf(const std::string& name) const;
+
   /** Changes the platform's VM list. */
   void ChangeVmList(const nlohmann::json& change);
 
@@ -120,13 +134,26 @@
   IpEndpoint Operators(int vm) const { return {VmIp(vm), 8002}; }
   IpEndpoint Platform() const { return {Ip(0, 1), 9000}; }
   IpEndpoint WorkerControl() const { return {Ip(0, 1), 9100}; }
+  IpEndpoint ProxyControl() const { return {Ip(0, 1), 9200}; }
 
  private:
+  /** Distance from a worker's third address number to that of its route through the proxy. */
+  static constexpr int kProxyGroups = 100;
+
   std::string Ip(int group, int number) const;
   std::string VmIp(int vm) const { return Ip(1, vm + 1); }
   std::string File(const std::string& name) const { return m_folder + "/" + name; }
   void WriteSettings() const;
   void WriteVmSettings(int vm) const;
+  void WriteProxySettings() const;
+  /** Returns where the entry VMs reach the platform. */
+  IpEndpoint PlatformForVms() const {
+    return m_options.fault_proxy ? IpEndpoint{Ip(0, 2), 9000} : Platform();
+  }
+  /** Returns the address of a worker that the platform lists. */
+  std::string ListedWorkerIp(int group, int number) const {
+    return Ip(m_options.fault_proxy ? group + kProxyGroups : group, number);
+  }
   std::unique_ptr<ChildProcess> Start(const std::string& program, const std::string& settings,
                                       const std::string& log) const;
   nlohmann::json GetJson(const IpEndpoint& from, const std::string& path);
@@ -137,6 +164,7 @@
   std::string m_folder;
   net::EventLoop m_loop;
   std::map<IpEndpoint, std::unique_ptr<http::HttpClient>> m_clients;
+  std::unique_ptr<ChildProcess> m_proxy;
   std::unique_ptr<ChildProcess> m_platform;
   std::unique_ptr<ChildProcess> m_workers;
   std::map<int, std::unique_ptr<ChildProcess>> m_controls;
