Test that accepted contracts are in force everywhere and never revert

Three entry VMs as real processes under two operators at once, a slow, silent or failing platform, lost answers, and VMs that are paused or restarted across a change.

--- a/test/system/test_deployment.cc
+++ b/test/system/test_deployment.cc
@@ -148,15 +148,28 @@
 
 CallAnswer TestDeployment::PutContract(int vm, const json& contract, const std::string& operation,
                                        std::optional<int> expect_version) {
+  std::optional<CallAnswer> answer;
+  PutContractLater(vm, contract, operation, expect_version,
+                   [&](CallAnswer received) { answer = std::move(received); });
+  while (!answer.has_value()) {
+    m_loop.RunOnce(milliseconds(100));
+  }
+  return *std::move(answer);
+}
+
+void TestDeployment::PutContractLater(int vm, const json& contract, const std::string& operation,
+                                      std::optional<int> expect_version,
+                                      std::function<void(CallAnswer)> callback) {
   json body{{"contract", contract}, {"operation", operation}, {"author", "test"}};
   if (expect_version.has_value()) {
     body["expect_version"] = *expect_version;
   }
-  http::HttpRequest request{"PUT",
-                            "/v1/contracts/" + contract["customer"].get<std::string>(),
-                            {{"authorization", std::string("Bearer ") + kOperatorToken}},
-                            body.dump()};
-  return Send(Operators(vm), request);
+  SendLater(Operators(vm),
+            {"PUT",
+             "/v1/contracts/" + contract["customer"].get<std::string>(),
+             {{"authorization", std::string("Bearer ") + kOperatorToken}},
+             body.dump()},
+            std::move(callback));
 }
 
 json TestDeployment::StatusOf(int vm) {
@@ -231,7 +244,22 @@
 }
 
 double TestDeployment::EntryMetric(int vm, const std::string& name_and_labels) {
-  std::istringstream text(Send({VmIp(vm), 8001}, {"GET", "/metrics", {}, ""}).body);
+  return MetricAt({VmIp(vm), 8001}, name_and_labels);
+}
+
+double TestDeployment::ControlMetric(int vm, const std::string& name_and_labels) {
+  return MetricAt(Operators(vm), name_and_labels);
+}
+
+json TestDeployment::WorkerEvents(int vm, const std::string& worker) {
+  const json answer = GetJson({VmIp(vm), 8001}, "/v1/timeline?worker=" + worker);
+  return answer.is_object() ? answer.value("events", json::array()) : json::array();
+}
+
+void TestDeployment::SetDeploymentKey(int vm, const std::string& key) { WriteVmSettings(vm, key); }
+
+double TestDeployment::MetricAt(const IpEndpoint& from, const std::string& name_and_labels) {
+  std::istringstream text(Send(from, {"GET", "/metrics", {}, ""}).body);
   std::string line;
   while (std::getline(text, line)) {
     if (line.starts_with(name_and_labels + " ")) {
@@ -291,7 +319,7 @@
   }
 }
 
-void TestDeployment::WriteVmSettings(int vm) const {
+void TestDeployment::WriteVmSettings(int vm, const std::string& key) const {
   std::ofstream file(File("vm" + std::to_string(vm) + ".ini"));
   const std::string ip = VmIp(vm);
   file << "[vm]\nname = vm-" << vm << "\nzone = zone-" << vm % 2 << "\nslot = " << vm
@@ -299,8 +327,8 @@
        << ":8000\nentry_admin = " << ip << ":8001\noperators = " << ip << ":8002\ngossip = " << ip
        << ":8003\ncontrol_rpc = " << ip << ":8004\nentry_rpc = " << ip
        << ":8005\n[platform]\nendpoint = " << ToString(Platform())
-       << "\n[keys]\ndeployment_key = key-of-the-test-deployment\noperator_token = "
-       << kOperatorToken << "\n[peers]\nseeds = ";
+       << "\n[keys]\ndeployment_key = " << key << "\noperator_token = " << kOperatorToken
+       << "\n[peers]\nseeds = ";
   for (int other = 0; other < m_options.vms; ++other) {
     file << (other == 0 ? "" : ", ") << VmIp(other) << ":8003";
   }
--- a/test/system/test_deployment.h
+++ b/test/system/test_deployment.h
@@ -73,6 +73,11 @@
   CallAnswer PutContract(int vm, const nlohmann::json& contract, const std::string& operation,
                          std::optional<int> expect_version = std::nullopt);
 
+  /** Puts a contract without waiting for the answer. */
+  void PutContractLater(int vm, const nlohmann::json& contract, const std::string& operation,
+                        std::optional<int> expect_version,
+                        std::function<void(CallAnswer)> callback);
+
   /** Returns the status that `vm` answers to operators; null if it does not answer. */
   nlohmann::json StatusOf(int vm);
 
@@ -109,6 +114,18 @@
   /** Returns the value of a counter or gauge at qh-entry's admin address; 0 if it is absent. */
   double EntryMetric(int vm, const std::string& name_and_labels);
 
+  /** Returns the value of a counter or gauge at qh-control's operators address; 0 if absent. */
+  double ControlMetric(int vm, const std::string& name_and_labels);
+
+  /** Returns the events of `vm`'s qh-entry that concern a worker. */
+  nlohmann::json WorkerEvents(int vm, const std::string& worker);
+
+  /** Writes the settings file of `vm` again, with another deployment key. */
+  void SetDeploymentKey(int vm, const std::string& key);
+
+  /** Returns the loop, for timers of a test. */
+  net::EventLoop& Loop() noexcept { return m_loop; }
+
   /** Runs the loop until `condition` holds or the limit passes; returns whether it held. */
   bool Until(const std::function<bool()>& condition,
              std::chrono::milliseconds limit = std::chrono::milliseconds(30000));
@@ -126,7 +143,8 @@
   std::string VmIp(int vm) const { return Ip(1, vm + 1); }
   std::string File(const std::string& name) const { return m_folder + "/" + name; }
   void WriteSettings() const;
-  void WriteVmSettings(int vm) const;
+  void WriteVmSettings(int vm, const std::string& key = "key-of-the-test-deployment") const;
+  double MetricAt(const IpEndpoint& from, const std::string& name_and_labels);
   std::unique_ptr<ChildProcess> Start(const std::string& program, const std::string& settings,
                                       const std::string& log) const;
   nlohmann::json GetJson(const IpEndpoint& from, const std::string& path);
