Probe the health endpoints of live workers

An idle worker that began to leave while the platform's list was frozen stayed selectable: its health endpoint was read only when a worker that had left could be back. Ruled out: the response header (an idle worker has no response) and the notice (no VM had seen a sign).

Each worker is now probed within [probes] budget, the VMs taking turns by the clock, so that the probes of all VMs are evenly spread and one lost VM costs one turn.

--- a/apps/qh-entry/src/worker_pool.cc
+++ b/apps/qh-entry/src/worker_pool.cc
@@ -1,13 +1,14 @@
 #include "worker_pool.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 #include <utility>
 
 #include "crash_notices.h"
+#include "quetzalhinge/base/hash.h"
 #include "quetzalhinge/http/http_message.h"
 #include "quetzalhinge/logging/log.h"
+#include "worker_signs.h"
 
 namespace qh::entry {
 namespace {
@@ -29,51 +30,8 @@
 
 constexpr milliseconds kProbeTimeout{1000};
 
-RequestOutcome OutcomeOf(AttemptEnd end, int status) {
-  switch (end) {
-    case AttemptEnd::kAnswered:
-      return status >= 500 ? RequestOutcome::kFailed : RequestOutcome::kSucceeded;
-    case AttemptEnd::kShed:
-      return RequestOutcome::kShed;
-    case AttemptEnd::kTimedOut:
-      return RequestOutcome::kTimedOut;
-    case AttemptEnd::kNotConnected:
-    case AttemptEnd::kFailed:
-    case AttemptEnd::kBadAnswer:
-      break;
-  }
-  return RequestOutcome::kFailed;
-}
-
-/** Parses "<in progress>/<slots>". */
-std::optional<routing::LoadReport> ParseLoad(std::string_view text, TimePoint now) {
-  routing::LoadReport report;
-  report.taken = now;
-  const char* end = text.data() + text.size();
-  const auto first = std::from_chars(text.data(), end, report.in_progress);
-  if (first.ec != std::errc() || first.ptr == end || *first.ptr != '/') {
-    return std::nullopt;
-  }
-  const auto second = std::from_chars(first.ptr + 1, end, report.slots);
-  if (second.ec != std::errc() || second.ptr != end || report.in_progress < 0) {
-    return std::nullopt;
-  }
-  return report;
-}
-
-routing::SelectionPolicy ToSelectionPolicy(vm_settings::RoutingPolicy policy) {
-  switch (policy) {
-    case vm_settings::RoutingPolicy::kRandom:
-      return routing::SelectionPolicy::kRandom;
-    case vm_settings::RoutingPolicy::kRoundRobin:
-      return routing::SelectionPolicy::kRoundRobin;
-    case vm_settings::RoutingPolicy::kLeastRequests:
-      return routing::SelectionPolicy::kLeastRequests;
-    case vm_settings::RoutingPolicy::kLoadAware:
-      break;
-  }
-  return routing::SelectionPolicy::kLoadAware;
-}
+/** Shorter than the time between two probes of a worker, so that no VM misses its turn. */
+constexpr milliseconds kMaintenanceInterval{250};
 
 routing::WorkerTableOptions TableOptions(const vm_settings::EntryVmSettings& settings) {
   routing::WorkerTableOptions options;
@@ -93,7 +51,8 @@
   /** Broken connections up to then belong to a loss that has been reported. */
   TimePoint loss_reported_until;
   bool listed_live = false;
-  TimePoint last_probe;
+  /** Number of the last turn (MayProbe()) in which this VM probed the worker. */
+  std::uint64_t last_turn = 0;
 };
 
 /** An attempt in progress. */
@@ -137,7 +96,7 @@
     routing::SelectorOptions options;
     options.own_zone = settings.zone;
     selector = routing::MakeWorkerSelector(ToSelectionPolicy(settings.policy), options);
-    maintenance.StartRepeating(std::chrono::seconds(1));
+    maintenance.StartRepeating(kMaintenanceInterval);
   }
 
   void ApplyList(const std::vector<ListedWorker>& listed) {
@@ -190,7 +149,7 @@
     limits::ConcurrencyLimitOptions options;
     options.max = static_cast<std::uint32_t>(settings.connections_per_worker);
     options.initial = std::min(options.initial, options.max);
-    return {MakeClient(info.endpoint), limits::ConcurrencyLimit(options), {}, {}, false, {}};
+    return {MakeClient(info.endpoint), limits::ConcurrencyLimit(options), {}, {}, false, 0};
   }
 
   std::unique_ptr<http::HttpClient> MakeClient(const IpEndpoint& endpoint) {
@@ -428,40 +387,61 @@
     });
     for (auto& [id, connection] : connections) {
       const routing::Worker* worker = table.Find(id);
+      // An idle worker that begins to leave can say so only at its health endpoint.
+      const bool may_leave = worker != nullptr && worker->state == WorkerState::kLive;
       const bool may_be_back = worker != nullptr && worker->state == WorkerState::kLeaving &&
                                connection.listed_live &&
                                now - worker->state_applied >= kReturnProbeDelay;
-      if (may_be_back && MayProbe(connection, now)) {
-        ProbeReturn(id, connection);
+      if ((may_leave || may_be_back) && MayProbe(id, connection)) {
+        Probe(id, connection);
       }
     }
   }
 
-  /** Each VM takes its part of the probes that a worker may receive from all of them. */
-  bool MayProbe(WorkerConnections& connection, TimePoint now) {
+  /**
+   * Each VM takes its part of the probes that a worker may receive from all of them. Turns go by
+   * the clock from slot to slot, so that the probes of all VMs are evenly spread.
+   */
+  bool MayProbe(const std::string& id, WorkerConnections& connection) const {
     if (settings.probe_budget <= 0) {
       return false;
     }
-    const std::chrono::duration<double> interval(settings.vm_count / settings.probe_budget);
-    if (now - connection.last_probe < interval) {
+    const std::chrono::duration<double> unix_time = std::chrono::microseconds(UnixNow());
+    const std::uint64_t turn =
+        static_cast<std::uint64_t>(unix_time.count() * settings.probe_budget) +
+        HashBytes(id) % static_cast<std::uint64_t>(settings.vm_count);
+    if (turn == connection.last_turn || turn % static_cast<std::uint64_t>(settings.vm_count) !=
+                                            static_cast<std::uint64_t>(settings.slot)) {
       return false;
     }
-    connection.last_probe = now;
+    connection.last_turn = turn;
     return true;
   }
 
-  void ProbeReturn(const std::string& id, WorkerConnections& connection) {
+  void Probe(const std::string& id, WorkerConnections& connection) {
     probes.Add();
     connection.client->StartOnNewConnection(
         {"GET", "/health", {}, ""}, kProbeTimeout,
         [self = weak_from_this(), id](const http::HttpCallResult& result) {
           const std::shared_ptr<Impl> impl = self.lock();
           const auto* response = std::get_if<http::HttpResponse>(&result);
-          if (impl != nullptr && response != nullptr && response->status == 200) {
-            impl->ApplySign(id, {WorkerState::kLive, SignSource::kVmList, UnixNow(), ""});
+          if (impl != nullptr && response != nullptr) {
+            impl->OnHealth(id, *response);
           }
         });
   }
+
+  void OnHealth(const std::string& id, const http::HttpResponse& response) {
+    const routing::Worker* worker = table.Find(id);
+    if (worker == nullptr) {
+      return;
+    }
+    if (SaysDraining(response)) {
+      ApplySign(id, {WorkerState::kLeaving, SignSource::kHealthEndpoint, UnixNow(), ""});
+    } else if (response.status == 200 && worker->state == WorkerState::kLeaving) {
+      ApplySign(id, {WorkerState::kLive, SignSource::kVmList, UnixNow(), ""});
+    }
+  }
 };
 
 WorkerPool::WorkerPool(net::EventLoop& loop, const vm_settings::EntryVmSettings& settings,
