Send an entry at most one view of members and workers in 500 ms

Within 5 s of a mass restart of four VMs, control spent up to 11,523 B/s, above its budget of 11,000 B/s. Cause: each change of a member's state pushed a whole view to the VM's own entry, a third of all bytes. Ruled out: gossip, whose bytes follow its interval, and reads of the platform.

--- a/apps/qh-control/src/entry_link.cc
+++ b/apps/qh-control/src/entry_link.cc
@@ -22,6 +22,12 @@
 /** Confirmations go at least every 500 ms; half of that leaves room for a busy machine. */
 constexpr milliseconds kConfirmInterval{250};
 
+/**
+ * Least time between two views. After a mass restart each VM changes its state several times within
+ * a second, and a view for each change was a third of control's bytes.
+ */
+constexpr milliseconds kViewInterval{500};
+
 /** An entry that answers nothing for this long is not reported as live. */
 constexpr milliseconds kSilentAfter{2000};
 
@@ -59,12 +65,15 @@
   const contract::ContractBook& book;
   EntryObserver& observer;
   net::Timer confirm_timer;
+  net::Timer view_timer;
   std::optional<EntryAgent::Client> agent;
   std::uint64_t session = 0;
   std::uint64_t incarnation = 0;
   contract::Revision entry_revision = 0;
   EntryReport report;
   EntryView view;
+  bool view_waits = false;
+  bool view_timer_runs = false;
   TimePoint answered_at{};
   bool pushing = false;
   bool confirming = false;
@@ -79,6 +88,7 @@
         book(contract_book),
         observer(entry_observer),
         confirm_timer(context.loop, [this] { OnConfirmTimer(); }),
+        view_timer(context.loop, [this] { OnViewTimer(); }),
         sent(context.metrics.CounterOf("qh_control_messages_total",
                                        "kind=\"entry\",direction=\"sent\"")),
         received(context.metrics.CounterOf("qh_control_messages_total",
@@ -124,6 +134,29 @@
            context.loop.Now() - answered_at <= kSilentAfter;
   }
 
+  void SendViewWhenDue() {
+    view_waits = true;
+    if (!view_timer_runs) {
+      SendView();
+    }
+  }
+
+  void SendView() {
+    view_waits = false;
+    view_timer_runs = true;
+    view_timer.StartOnce(kViewInterval);
+    auto request = agent->applyViewRequest();
+    WriteView(view, request.initView());
+    Send(kj::mv(request), [](auto&) {});
+  }
+
+  void OnViewTimer() {
+    view_timer_runs = false;
+    if (view_waits && agent.has_value()) {
+      SendView();
+    }
+  }
+
   void OnConfirmTimer() {
     PushContracts();
     Confirm();
@@ -178,6 +211,8 @@
   m_impl->entry_revision = 0;
   m_impl->report = {};
   m_impl->view = {};
+  m_impl->view_waits = false;
+  m_impl->view_timer_runs = false;
   m_impl->pushing = false;
   m_impl->confirming = false;
   m_impl->answered_at = m_impl->context.loop.Now();
@@ -230,9 +265,7 @@
     return;
   }
   m_impl->view = view;
-  auto request = m_impl->agent->applyViewRequest();
-  WriteView(view, request.initView());
-  m_impl->Send(kj::mv(request), [](auto&) {});
+  m_impl->SendViewWhenDue();
 }
 
 void EntryLink::PushNotice(const membership::Notice& notice) {
