Measure the accepted rate in the moment when a fault ends

The windows that covered a whole fault had a bound of twice what could be accepted within them. Each window now begins when the VM comes back and its loans and its lenders' shares could overlap.

--- a/test/system/test_rate_limits.cc
+++ b/test/system/test_rate_limits.cc
@@ -123,26 +123,33 @@
 
   struct Case {
     const char* name;
+    int vm;
     std::function<void()> fault;
     std::function<void()> end;
   };
   const std::vector<Case> cases{
-      {"an entry dies and comes back", [&] { deployment.Entry(1).Signal(SIGKILL); },
+      {"an entry dies and comes back", 1, [&] { deployment.Entry(1).Signal(SIGKILL); },
        [&] { deployment.StartEntry(1); }},
-      {"an entry is paused for longer than its loans live",
+      {"an entry is paused across the end of its loans", 2,
        [&] { deployment.Entry(2).Signal(SIGSTOP); }, [&] { deployment.Entry(2).Signal(SIGCONT); }},
-      {"a control process dies and comes back", [&] { deployment.Control(0).Signal(SIGKILL); },
+      {"a control process dies and comes back", 0, [&] { deployment.Control(0).Signal(SIGKILL); },
        [&] { deployment.StartControl(0); }},
   };
   for (const Case& row : cases) {
+    // The VM borrows, then the fault begins, and the lenders are under load when it ends.
+    std::vector<double> rates(kVms, 0);
+    rates[row.vm] = kAboveRate;
+    load.SetRates(rates);
+    deployment.RunFor(milliseconds(1500));
+    row.fault();
+    rates.assign(kVms, kAboveRate);
+    rates[row.vm] = 0;
+    load.SetRates(rates);
+    deployment.RunFor(milliseconds(2500));
+    story.MarkTime();
     story.StaysWithinContract(row.name, [&] {
-      // One VM borrows when the fault begins; all are under load when it ends.
-      load.SetRates({kAboveRate, 0, 0});
-      deployment.RunFor(milliseconds(1000));
-      row.fault();
-      deployment.RunFor(milliseconds(3200));
-      load.SetRates({kAboveRate, kAboveRate, kAboveRate});
       row.end();
+      load.SetRates(std::vector<double>(kVms, kAboveRate));
       deployment.RunFor(milliseconds(1500));
     });
   }
