Give memcpy no null pointer in the RPC stream and the gossip codec

A build with -DQH_SANITIZE=ON reported null pointers passed to memcpy with size 0: in libs/rpc/src/uv_stream.cc when KJ reads before any byte was received, and in the gossip codec for a datagram shorter than one word. Both return early now.

Measured under the sanitizers (leak check off): test_control_parts, test_operator_interface and test_entry_session pass without a report. test_qhctl ran into its outer limit of 120 s once, in the table of wrong command lines, while the machine was busy (load 10); 4 full runs and 5 runs of that case afterwards passed, 12 s and 0.6 s each. The cause is not known.

--- a/apps/qh-control/src/gossip_codec.cc
+++ b/apps/qh-control/src/gossip_codec.cc
@@ -141,6 +141,9 @@
 }
 
 Result<GossipMessage> DecodeGossip(std::string_view bytes) {
+  if (bytes.size() < sizeof(capnp::word)) {
+    return Error{ErrorCode::kProtocol, "read gossip", "", "shorter than one word"};
+  }
   // The datagram's buffer need not be aligned as Cap'n Proto wants it.
   std::vector<capnp::word> words(bytes.size() / sizeof(capnp::word));
   std::memcpy(words.data(), bytes.data(), words.size() * sizeof(capnp::word));
--- a/libs/rpc/src/uv_stream.cc
+++ b/libs/rpc/src/uv_stream.cc
@@ -147,6 +147,9 @@
 
   void TakeReceived() {
     const std::size_t count = std::min(m_received.size(), m_wanted.max_bytes - m_wanted.taken);
+    if (count == 0) {
+      return;  // An empty vector's data() may be null, which memcpy() must not be given.
+    }
     std::memcpy(m_wanted.buffer + m_wanted.taken, m_received.data(), count);
     m_received.erase(m_received.begin(), m_received.begin() + static_cast<std::ptrdiff_t>(count));
     m_wanted.taken += count;
