--- a/apps/qh-entry/src/call_request.cc
+++ b/apps/qh-entry/src/call_request.cc
@@ -108,7 +108,8 @@
   }
   const http::HttpRequest& request = exchange.Request();
   CallRequest call;
-  const std::string_view rest = std::string_view(request.path).substr(kServicePrefix.size());
+  const std::string_view path = request.path;
+  const std::string_view rest = path.substr(kServicePrefix.size());
   const std::size_t end = rest.find_first_of("/?");
   call.service = rest.substr(0, end);
   call.target = end == std::string_view::npos ? "/" : rest.substr(end);
--- a/apps/qh-entry/src/call_service.cc
+++ b/apps/qh-entry/src/call_service.cc
@@ -40,7 +40,7 @@
 
 CallService::~CallService() = default;
 
-void CallService::Handle(std::shared_ptr<http::HttpExchange> exchange) {
+void CallService::Handle(const std::shared_ptr<http::HttpExchange>& exchange) {
   const std::string_view path = http::PathOnly(exchange->Request().path);
   if (path == "/v1/addresses") {
     HandleAddresses(exchange);
--- a/apps/qh-entry/src/call_service.h
+++ b/apps/qh-entry/src/call_service.h
@@ -48,7 +48,7 @@
   CallService& operator=(const CallService&) = delete;
 
   /** Answers one request, now or later. */
-  void Handle(std::shared_ptr<http::HttpExchange> exchange);
+  void Handle(const std::shared_ptr<http::HttpExchange>& exchange);
 
   /** Sets whether calls are taken; kDraining asks callers to look for another VM. */
   void SetState(ServiceState state) noexcept { m_state = state; }
--- a/apps/qh-entry/src/call_task.cc
+++ b/apps/qh-entry/src/call_task.cc
@@ -222,8 +222,8 @@
   attempt.new_connection = m_attempts > 1;
   m_context.events.Add("attempt_started", m_request_id, m_call.customer, worker, m_call.service);
   const std::uint64_t number = m_context.workers.StartAttempt(
-      std::move(attempt), [self = shared_from_this(), worker](AttemptResult result) {
-        self->OnAttemptEnd(worker, std::move(result));
+      std::move(attempt), [self = shared_from_this(), worker](const AttemptResult& result) {
+        self->OnAttemptEnd(worker, result);
       });
   m_running.push_back({worker, number});
   if (m_attempts == 1) {
@@ -311,7 +311,7 @@
   return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(limit));
 }
 
-void CallTask::OnAttemptEnd(const std::string& worker, AttemptResult result) {
+void CallTask::OnAttemptEnd(const std::string& worker, const AttemptResult& result) {
   std::erase_if(m_running, [&](const RunningAttempt& running) { return running.worker == worker; });
   m_worker_time = std::max(m_worker_time, result.latency);
   m_context.events.Add("attempt_ended", m_request_id, m_call.customer, worker,
--- a/apps/qh-entry/src/call_task.h
+++ b/apps/qh-entry/src/call_task.h
@@ -48,7 +48,7 @@
   void ScheduleHedge();
   void StartHedge();
   retries::HedgeCandidate ToHedgeCandidate() const;
-  void OnAttemptEnd(const std::string& worker, AttemptResult result);
+  void OnAttemptEnd(const std::string& worker, const AttemptResult& result);
   void CancelOtherAttempts();
   void Deliver(const AttemptResult& result);
   void RetryOrFail(const AttemptResult& result);
--- a/apps/qh-entry/src/control_link.cc
+++ b/apps/qh-entry/src/control_link.cc
@@ -6,6 +6,8 @@
 
 #include "processes.capnp.h"
 #include "quetzalhinge/logging/log.h"
+#include "quetzalhinge/messages/contract_messages.h"
+#include "quetzalhinge/messages/member_messages.h"
 #include "quetzalhinge/net/timer.h"
 #include "quetzalhinge/rpc/rpc_client.h"
 #include "quetzalhinge/rpc/session_code.h"
@@ -28,12 +30,12 @@
 
   // NOLINTBEGIN(readability-identifier-naming): the names come from the schema.
   kj::Promise<void> applyContracts(ApplyContractsContext context) override {
-    Result<contract::ChangesAnswer> changes = ReadChanges(context.getParams().getChanges());
-    if (!IsOk(changes)) {
-      logging::LogError("control_link", ErrorOf(changes));
+    auto update = messages::ReadContractUpdate(context.getParams().getChanges());
+    if (!IsOk(update)) {
+      logging::LogError("control_link", ErrorOf(update));
       return KJ_EXCEPTION(FAILED, "contract changes have another form");
     }
-    context.getResults().setRevision(Listener().OnContracts(TakeValue(std::move(changes))));
+    context.getResults().setRevision(Listener().OnContracts(TakeValue(std::move(update)).changes));
     return kj::READY_NOW;
   }
 
@@ -44,7 +46,11 @@
   }
 
   kj::Promise<void> applyNotice(ApplyNoticeContext context) override {
-    Listener().OnNotice(ReadNotice(context.getParams().getNotice()));
+    const auto notice = messages::ReadNotice(context.getParams().getNotice());
+    // A kind that this version does not know tells it nothing.
+    if (IsOk(notice)) {
+      Listener().OnNotice(ValueOf(notice));
+    }
     return kj::READY_NOW;
   }
 
@@ -205,7 +211,7 @@
     return;
   }
   auto request = m_impl->control.publishNoticeRequest();
-  WriteNotice(notice, request.initNotice());
+  messages::WriteNotice(notice, request.initNotice());
   m_impl->kj_loop.Detach(request.send().ignoreResult());
 }
 
--- a/apps/qh-entry/src/entry_process.cc
+++ b/apps/qh-entry/src/entry_process.cc
@@ -93,8 +93,8 @@
               addresses),
         control(kj_loop, vm_settings, incarnation, *this),
         caller_server(event_loop, CallerServerOptions(vm_settings),
-                      [this](std::shared_ptr<http::HttpExchange> exchange) {
-                        calls.Handle(std::move(exchange));
+                      [this](const std::shared_ptr<http::HttpExchange>& exchange) {
+                        calls.Handle(exchange);
                       }),
         admin_server(event_loop, AdminServerOptions(vm_settings),
                      [this](const std::shared_ptr<http::HttpExchange>& exchange) {
--- a/apps/qh-entry/src/wire_forms.cc
+++ b/apps/qh-entry/src/wire_forms.cc
@@ -1,45 +1,24 @@
 #include "wire_forms.h"
 
-#include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
+#include "quetzalhinge/messages/member_messages.h"
+
 namespace qh::entry {
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-IpEndpoint ReadEndpoint(rpc::wire::Endpoint::Reader reader) {
-  return {reader.getIp().cStr(), reader.getPort()};
-}
-
 }  // namespace
 
-Result<contract::ChangesAnswer> ReadChanges(rpc::wire::ContractChanges::Reader reader) {
-  std::vector<contract::ContractChange> changes;
-  for (const auto& item : reader.getChanges()) {
-    const std::string text(item.getJson().cStr(), item.getJson().size());
-    auto change = contract::ContractChangeFromJson(nlohmann::json::parse(text, nullptr, false));
-    if (!IsOk(change)) {
-      return ErrorOf(change);
-    }
-    changes.push_back(TakeValue(std::move(change)));
-  }
-  if (reader.getIsSnapshot()) {
-    return contract::ChangesAnswer(
-        contract::ContractSnapshot{reader.getRevision(), std::move(changes)});
-  }
-  return contract::ChangesAnswer(std::move(changes));
-}
-
 std::vector<EntryVm> ReadMembers(rpc::wire::View::Reader reader) {
   std::vector<EntryVm> vms;
   for (const auto& member : reader.getMembers()) {
     vms.push_back({member.getName().cStr(), member.getZone().cStr(), member.getSlot(),
                    member.getState() == rpc::wire::MemberState::LIVE,
-                   ReadEndpoint(member.getCallers()), ReadEndpoint(member.getEntryRpc()),
-                   member.getEntryIncarnation()});
+                   messages::ReadEndpoint(member.getCallers()),
+                   messages::ReadEndpoint(member.getEntryRpc()), member.getEntryIncarnation()});
   }
   return vms;
 }
@@ -51,31 +30,13 @@
     listed.info.id = worker.getName().cStr();
     listed.info.service = worker.getService().cStr();
     listed.info.zone = worker.getZone().cStr();
-    listed.info.endpoint = ReadEndpoint(worker.getEndpoint());
+    listed.info.endpoint = messages::ReadEndpoint(worker.getEndpoint());
     listed.leaving = worker.getLeaving();
     workers.push_back(std::move(listed));
   }
   return workers;
 }
 
-membership::Notice ReadNotice(rpc::wire::Notice::Reader reader) {
-  return {static_cast<membership::NoticeKind>(reader.getKind()),
-          reader.getSubject().cStr(),
-          reader.getDetail().cStr(),
-          reader.getValue(),
-          reader.getStampMicros(),
-          milliseconds(reader.getLifetimeMillis())};
-}
-
-void WriteNotice(const membership::Notice& notice, rpc::wire::Notice::Builder builder) {
-  builder.setKind(static_cast<std::uint8_t>(notice.kind));
-  builder.setSubject(notice.subject);
-  builder.setDetail(notice.detail);
-  builder.setValue(notice.value);
-  builder.setStampMicros(notice.stamp_us);
-  builder.setLifetimeMillis(static_cast<std::uint32_t>(notice.lifetime.count()));
-}
-
 limits::BorrowRequest ReadBorrowRequest(rpc::wire::BorrowRequest::Reader reader) {
   return {reader.getRequestId(), reader.getBorrowerSlot(), reader.getLenderSlot(),
           reader.getFraction(), milliseconds(reader.getLifetimeMillis())};
--- a/apps/qh-entry/src/wire_forms.h
+++ b/apps/qh-entry/src/wire_forms.h
@@ -1,27 +1,18 @@
 #pragma once
 
-#include <optional>
 #include <vector>
 
 #include "address_book.h"
 #include "processes.capnp.h"
-#include "quetzalhinge/contract/contract_book.h"
 #include "quetzalhinge/idempotency/key_table.h"
 #include "quetzalhinge/limits/share_messages.h"
-#include "quetzalhinge/membership/notice.h"
 #include "worker_pool.h"
 
 namespace qh::entry {
 
-/** Reads contract changes; an error if one of them has another form. */
-Result<contract::ChangesAnswer> ReadChanges(rpc::wire::ContractChanges::Reader reader);
-
 std::vector<EntryVm> ReadMembers(rpc::wire::View::Reader reader);
 std::vector<ListedWorker> ReadWorkers(rpc::wire::View::Reader reader);
 
-membership::Notice ReadNotice(rpc::wire::Notice::Reader reader);
-void WriteNotice(const membership::Notice& notice, rpc::wire::Notice::Builder builder);
-
 limits::BorrowRequest ReadBorrowRequest(rpc::wire::BorrowRequest::Reader reader);
 void WriteBorrowRequest(const limits::BorrowRequest& request,
                         rpc::wire::BorrowRequest::Builder builder);
--- a/apps/qh-entry/src/worker_pool.cc
+++ b/apps/qh-entry/src/worker_pool.cc
@@ -311,7 +311,7 @@
     }
     ended.response = std::move(std::get<http::HttpResponse>(result));
     const http::HttpHeaders& headers = ended.response.headers;
-    if (http::FindHeader(headers, "x-qh-request-id") != std::string_view(attempt.request_id)) {
+    if (http::FindHeader(headers, "x-qh-request-id") != attempt.request_id) {
       ended.end = AttemptEnd::kBadAnswer;
       ended.error = {ErrorCode::kProtocol, "match response", attempt.worker,
                      "the response names another request"};
--- a/test/system/test_whole_answers.cc
+++ b/test/system/test_whole_answers.cc
@@ -253,19 +253,20 @@
           TestDeployment::MakeCall(kCustomer, "GET", "katalog/a?" + query, "");
       request.headers.push_back({"x-qh-deadline-ms", i % 3 == 0 ? "60" : "3000"});
       ++in_progress;
-      deployment.SendLater(deployment.Callers(i % 3), request, [&, query](CallAnswer answer) {
-        --in_progress;
-        if (answer.outcome == "ran" && answer.status == 200) {
-          ++whole;
-          const Result<std::string> checked = standin::CheckAnswerBody(answer.body, query, "");
-          CAPTURE(query, answer.body);
-          REQUIRE(IsOk(checked));
-          CHECK(http::FindHeader(answer.headers, "x-qh-request-id") == ValueOf(checked));
-        } else {
-          ++failed;
-          CHECK((answer.outcome == "unknown" || answer.outcome == "not-run"));
-        }
-      });
+      deployment.SendLater(
+          deployment.Callers(i % 3), request, [&, query](const CallAnswer& answer) {
+            --in_progress;
+            if (answer.outcome == "ran" && answer.status == 200) {
+              ++whole;
+              const Result<std::string> checked = standin::CheckAnswerBody(answer.body, query, "");
+              CAPTURE(query, answer.body);
+              REQUIRE(IsOk(checked));
+              CHECK(http::FindHeader(answer.headers, "x-qh-request-id") == ValueOf(checked));
+            } else {
+              ++failed;
+              CHECK((answer.outcome == "unknown" || answer.outcome == "not-run"));
+            }
+          });
     }
     REQUIRE(deployment.Until([&] { return in_progress == 0; }));
   }
