Average the latency gradient over ten samples, clip stragglers, and mend three findings

Concurrency limit: at a worker with few requests each sample made up nearly all of the recent average, so the usual spread of service times shrank the limit to 1 and calls waited in the entry. A sample now weighs 0.1 at most and a slowdown counts 4 at most. Ruled out: a higher floor (it hides a worker that really is slow).

Subsets: the assignment ends when every slot has its workers. No pair fits after that, so the result is the same.

Confirmation: a VM whose confirmation is older than half of the limit reads the head at once instead of refusing calls by a chance silence of its peers.

--- a/apps/qh-control/src/control_process.cc
+++ b/apps/qh-control/src/control_process.cc
@@ -25,6 +25,8 @@
 
 using membership::MemberState;
 
+/** How often the age of the confirmation is looked at. */
+constexpr std::chrono::milliseconds kConfirmationCheckInterval{250};
 /** How long after the planned stop the last messages may take to leave. */
 constexpr std::chrono::milliseconds kFarewellTime{100};
 
@@ -45,6 +47,7 @@
   RpcGate gate;
   OperatorApi operators;
   net::SignalWatcher signals;
+  net::Timer confirmation_timer;
   net::Timer drain_timer;
   net::Timer farewell_timer;
   bool draining = false;
@@ -60,6 +63,7 @@
         gate(context, contracts.Book(), entry, peers, *this),
         operators(context, MakeOperatorBackend()),
         signals(context.loop, [this](int count) { OnStopSignal(count); }),
+        confirmation_timer(context.loop, [this] { RenewConfirmation(); }),
         drain_timer(context.loop, [this] { EndDrain("drain limit reached"); }),
         farewell_timer(context.loop, [this] { context.loop.Stop(); }) {
     workers.OnChange([this] { UpdateView(); });
@@ -198,6 +202,16 @@
     }
   }
 
+  /** Peers may stay silent by chance for longer than the limit, above all at several hundred VMs,
+   * where the regular reads of the head are 30 s apart. */
+  void RenewConfirmation() {
+    const std::optional<TimePoint> confirmed_at = contracts.Book().ConfirmedAt();
+    const Duration old_from = context.settings.confirmation_limit / 2;
+    if (!confirmed_at.has_value() || context.loop.Now() - *confirmed_at >= old_from) {
+      platform.ReadHeadNow();
+    }
+  }
+
   void OnStopSignal(int count) {
     if (count > 1) {
       EndDrain("second signal");
@@ -243,6 +257,7 @@
     }
   }
   m_impl->platform.Start();
+  m_impl->confirmation_timer.StartRepeating(kConfirmationCheckInterval);
   const vm_settings::EntryVmSettings& settings = m_impl->context.settings;
   m_impl->context.events.Add("started", {});
   logging::LogChange("process", "started",
--- a/apps/qh-control/src/platform_task.cc
+++ b/apps/qh-control/src/platform_task.cc
@@ -41,6 +41,7 @@
   net::Timer head_timer;
   std::size_t list_bytes = 0;
   bool reachable = true;
+  bool reading_head = false;
 
   Impl(ControlContext& process_context, PlatformObserver& platform_observer)
       : context(process_context),
@@ -63,8 +64,10 @@
   }
 
   void ReadHead() {
+    reading_head = true;
     const TimePoint asked_at = context.loop.Now();
     client.ReadRow(kHeadKey, [this, asked_at](const auto& row) {
+      reading_head = false;
       NoteReachable(row);
       const Result<contract::Revision> newest =
           IsOk(row) ? RevisionOfHead(ValueOf(row)) : Result<contract::Revision>(ErrorOf(row));
@@ -106,6 +109,13 @@
   m_impl->ReadHead();
 }
 
+void PlatformTask::ReadHeadNow() {
+  if (!m_impl->reading_head) {
+    m_impl->head_timer.Stop();
+    m_impl->ReadHead();
+  }
+}
+
 void PlatformTask::ReadContractsSince(contract::Revision revision, contract::Revision newest,
                                       ContractTableReader::UpdateCallback callback) {
   m_impl->reader.ReadSince(revision, newest, std::move(callback));
--- a/apps/qh-control/src/platform_task.h
+++ b/apps/qh-control/src/platform_task.h
@@ -34,6 +34,9 @@
   /** Starts to read the list and the head, both at once. */
   void Start();
 
+  /** Reads the head now, unless it is being read; for a VM whose confirmation grows old. */
+  void ReadHeadNow();
+
   /** Reads what a book at `revision` lacks; see ContractTableReader::ReadSince(). */
   void ReadContractsSince(contract::Revision revision, contract::Revision newest,
                           ContractTableReader::UpdateCallback callback);
--- a/apps/qhctl/src/revision_wait.cc
+++ b/apps/qhctl/src/revision_wait.cc
@@ -39,6 +39,10 @@
       wait.lagging.push_back(names[i] + ": has revision " + std::to_string(in_force));
     }
   }
+  // A change that no VM enforces yet is not in force, for example while all VMs are starting.
+  if (names.empty()) {
+    wait.lagging.push_back("no entry VM is live");
+  }
   return wait;
 }
 
--- a/libs/limits/src/concurrency_limit.cc
+++ b/libs/limits/src/concurrency_limit.cc
@@ -18,6 +18,12 @@
 // that the first sample after it does not replace the usual level.
 constexpr Seconds kShortestGap(0.001);
 constexpr Seconds kLongestGap(1);
+// A worker that gets few requests has one sample in several recent times. With less than about ten
+// samples in the average, the usual spread of service times would look like a slower worker, and
+// the limit would fall to 1.
+constexpr double kLargestSampleWeight = 0.1;
+// One straggler must not shrink the limit for all; a worker that is slow exceeds this each time.
+constexpr double kLargestSlowdown = 4;
 constexpr double kSmallestGradient = 0.5;
 // Part of a computed change that one response makes.
 constexpr double kSmoothing = 0.2;
@@ -41,7 +47,7 @@
   if (latency <= Duration(0) || expected <= Duration(0)) {
     return;
   }
-  LearnSlowdown(Seconds(latency) / Seconds(expected), now);
+  LearnSlowdown(std::min(kLargestSlowdown, Seconds(latency) / Seconds(expected)), now);
   const double gradient = std::clamp(m_options.tolerance * m_usual_slowdown / m_recent_slowdown,
                                      kSmallestGradient, 1.0);
   double target = m_limit * gradient;
@@ -68,7 +74,8 @@
   }
   const Seconds gap = std::clamp(Seconds(now - m_last_sample), kShortestGap, kLongestGap);
   m_last_sample = std::max(m_last_sample, now);
-  m_recent_slowdown += Weight(gap, kRecentTime) * (slowdown - m_recent_slowdown);
+  m_recent_slowdown +=
+      std::min(kLargestSampleWeight, Weight(gap, kRecentTime)) * (slowdown - m_recent_slowdown);
   const Seconds usual_time = m_recent_slowdown > m_usual_slowdown ? kUsualRiseTime : kUsualFallTime;
   m_usual_slowdown += Weight(gap, usual_time) * (m_recent_slowdown - m_usual_slowdown);
 }
--- a/libs/limits/test/test_concurrency_limit.cc
+++ b/libs/limits/test/test_concurrency_limit.cc
@@ -1,6 +1,9 @@
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <cmath>
+#include <random>
 
 #include "quetzalhinge/limits/concurrency_limit.h"
 
@@ -46,6 +49,24 @@
       CHECK_FALSE(limit.MayStart(7));
     }
   }
+  SECTION(
+      "the usual spread of service times, with stragglers, does not look like a slower worker") {
+    // Guards against a limit that falls to 1 at a worker with few requests: each sample then made
+    // up nearly all of the recent average.
+    std::mt19937_64 generator(20261204);
+    std::lognormal_distribution<double> service_ms(std::log(10.0), 0.4);
+    std::uint32_t lowest = 14;
+    for (int i = 0; i < 2000; ++i) {
+      now += milliseconds(60);
+      const double latency_ms = i % 200 == 199 ? 300 : service_ms(generator);
+      limit.OnResponse(std::chrono::microseconds(static_cast<int>(latency_ms * 1000)),
+                       milliseconds(10), limit.Limit(), now);
+      if (i > 100) {
+        lowest = std::min(lowest, limit.Limit());
+      }
+    }
+    CHECK(lowest >= 7);
+  }
   SECTION("it does not grow while it is not used") {
     respond(200, 10, 1);
     CHECK(limit.Limit() == 4);
--- a/libs/routing/src/worker_subset.cc
+++ b/libs/routing/src/worker_subset.cc
@@ -74,6 +74,12 @@
     return taken;
   }
 
+  /** Returns whether every slot has its workers, so that no pair can be taken any more. */
+  bool IsComplete() const noexcept {
+    return std::all_of(m_slot_uses.begin(), m_slot_uses.end(),
+                       [&](int uses) { return uses >= m_per_slot; });
+  }
+
   int MostUses() const noexcept {
     return *std::max_element(m_worker_uses.begin(), m_worker_uses.end());
   }
@@ -107,7 +113,8 @@
     Assignment assignment(vms, workers, size);
     // The lower bound is filled first, so that rounding up leaves no worker without a VM. Bounds
     // above the mean serve slots for which only workers that they already use had room.
-    for (int per_worker = vms * size / workers; per_worker <= vms; ++per_worker) {
+    for (int per_worker = vms * size / workers; per_worker <= vms && !assignment.IsComplete();
+         ++per_worker) {
       for (const int worker : assignment.Take(pairs, per_worker, m_options.vm_slot)) {
         m_members.push_back(ids[static_cast<std::size_t>(worker)]);
       }
