--- a/apps/qh-entry/src/call_service.cc
+++ b/apps/qh-entry/src/call_service.cc
@@ -120,10 +120,7 @@
 
 void CallService::Refuse(const std::shared_ptr<http::HttpExchange>& exchange,
                          const CallError& error) {
-  m_context.metrics
-      .CounterOf("qh_calls_total", "outcome=\"" + std::string(ToString(OutcomeOf(error.code))) +
-                                       "\",code=\"" + ToString(error.code) + "\"")
-      .Add();
+  CountCall(OutcomeOf(error.code), ToString(error.code));
   http::HttpResponse response = ToResponse(error, MakeRandomId(m_context.generator));
   FinishResponse(response);
   // After a head that can be read in two ways, what follows on the connection cannot be trusted.
@@ -133,6 +130,13 @@
   exchange->Respond(std::move(response));
 }
 
+void CallService::CountCall(Outcome outcome, const char* code) {
+  m_context.metrics
+      .CounterOf("qh_calls_total",
+                 "outcome=\"" + std::string(ToString(outcome)) + "\",code=\"" + code + "\"")
+      .Add();
+}
+
 void CallService::Enqueue(const std::shared_ptr<CallTask>& task) {
   const limits::QueuedRequest request = task->ToQueuedRequest();
   const QueueKey key{task->Service(), task->WorkClass()};
--- a/apps/qh-entry/src/call_service.h
+++ b/apps/qh-entry/src/call_service.h
@@ -76,6 +76,9 @@
   /** Returns what the calls share. */
   CallContext& Context() noexcept { return m_context; }
 
+  /** Counts an answer by its outcome and code. */
+  void CountCall(Outcome outcome, const char* code);
+
   /** Counts a call as answered. */
   void OnAnswered() noexcept { --m_in_progress; }
 
--- a/apps/qh-entry/src/call_task.cc
+++ b/apps/qh-entry/src/call_task.cc
@@ -437,10 +437,7 @@
     response.headers.push_back({"x-qh-outcome", ToString(Outcome::kRan)});
   }
   const Duration total = m_context.loop.Now() - m_started;
-  m_context.metrics
-      .CounterOf("qh_calls_total",
-                 "outcome=\"" + std::string(ToString(outcome)) + "\",code=\"" + code + "\"")
-      .Add();
+  m_service.CountCall(outcome, code);
   m_context.metrics.HistogramOf("qh_call_seconds").Record(duration_cast<microseconds>(total));
   m_context.metrics.HistogramOf("qh_call_added_seconds")
       .Record(duration_cast<microseconds>(total - m_worker_time));
