Move the gossip task into a library of its own

A second host of the entry VM's tasks needs gossip. The task took its options from qh-control's context; it now takes them as a struct, and reports events to its observer. The conversion of crash notices moves along. Behaviour is unchanged: test_control_parts, test_membership, test_operator_interface pass.

--- a/apps/qh-control/src/control_process.cc
+++ b/apps/qh-control/src/control_process.cc
@@ -9,10 +9,10 @@
 #include "contract_task.h"
 #include "control_context.h"
 #include "entry_link.h"
-#include "gossip_task.h"
 #include "operator_api.h"
 #include "peer_links.h"
 #include "platform_task.h"
+#include "quetzalhinge/gossip/gossip_task.h"
 #include "quetzalhinge/logging/log.h"
 #include "quetzalhinge/net/signal_watcher.h"
 #include "quetzalhinge/net/timer.h"
@@ -30,19 +30,36 @@
 /** How long after the planned stop the last messages may take to leave. */
 constexpr std::chrono::milliseconds kFarewellTime{100};
 
+gossip::GossipTaskOptions OptionsOf(const vm_settings::EntryVmSettings& settings) {
+  gossip::GossipTaskOptions options;
+  options.self.vm = settings.name;
+  options.self.zone = settings.zone;
+  options.self.slot = static_cast<std::uint16_t>(settings.slot);
+  options.self.generation = static_cast<std::uint64_t>(UnixNow());
+  options.self.endpoints.calls = settings.addresses.callers;
+  options.self.endpoints.entry_rpc = settings.addresses.entry_rpc;
+  options.self.endpoints.control_rpc = settings.addresses.control_rpc;
+  options.self.endpoints.gossip = settings.addresses.gossip;
+  options.self.endpoints.operators = settings.addresses.operators;
+  options.table.vm_count = static_cast<std::size_t>(settings.vm_count);
+  options.deployment_key = settings.deployment_key;
+  options.seeds = settings.seeds;
+  return options;
+}
+
 }  // namespace
 
 struct ControlProcess::Impl : PlatformObserver,
                               ContractObserver,
                               EntryObserver,
-                              GossipObserver,
+                              gossip::GossipObserver,
                               GateBackend {
   ControlContext context;
   PlatformTask platform;
   PeerLinks peers;
   ContractTask contracts;
   EntryLink entry;
-  GossipTask gossip;
+  gossip::GossipTask gossip;
   WorkerDirectory workers;
   RpcGate gate;
   OperatorApi operators;
@@ -58,7 +75,7 @@
         peers(context),
         contracts(context, platform, peers, *this),
         entry(context, contracts.Book(), *this),
-        gossip(context, *this),
+        gossip(context.loop, context.random, context.metrics, OptionsOf(settings), *this),
         workers(context, peers),
         gate(context, contracts.Book(), entry, peers, *this),
         operators(context, MakeOperatorBackend()),
@@ -105,7 +122,7 @@
   // ContractObserver
 
   void OnContractsChanged() override {
-    gossip.SetOwnRevision(contracts.Book().NewestHeard());
+    gossip.AnnounceOwnRevision(contracts.Book().NewestHeard());
     entry.PushContracts();
   }
 
@@ -153,6 +170,14 @@
 
   void OnMembersChanged() override { UpdateView(); }
 
+  void OnMemberHeard(const std::string& vm, bool heard) override {
+    context.events.Add(heard ? "member_heard" : "member_silent", {"", "", vm});
+  }
+
+  void OnOwnStateChanged(MemberState state) override {
+    context.events.Add("own_state", {"", "", membership::kMemberStateNames.NameOf(state)});
+  }
+
   // GateBackend
 
   std::optional<IpEndpoint> ControlRpcOfSlot(std::uint32_t slot) const override {
--- a/apps/qh-control/src/operator_api.h
+++ b/apps/qh-control/src/operator_api.h
@@ -7,8 +7,8 @@
 #include "contract_task.h"
 #include "control_context.h"
 #include "entry_link.h"
-#include "gossip_task.h"
 #include "platform_task.h"
+#include "quetzalhinge/gossip/gossip_task.h"
 
 namespace qh::control {
 
@@ -17,7 +17,7 @@
   ContractTask& contracts;
   PlatformTask& platform;
   EntryLink& entry;
-  GossipTask& gossip;
+  gossip::GossipTask& gossip;
   const std::optional<std::vector<platform::VmRecord>>& workers;
   /** Begins the planned stop of this VM. */
   std::function<void()> begin_drain;
--- a/apps/qh-control/src/operator_json.h
+++ b/apps/qh-control/src/operator_json.h
@@ -9,7 +9,7 @@
 #include "contract_acceptance.h"
 #include "contract_task.h"
 #include "entry_link.h"
-#include "gossip_task.h"
+#include "quetzalhinge/gossip/gossip_task.h"
 #include "quetzalhinge/http/http_message.h"
 #include "quetzalhinge/timeline/event_ring.h"
 
--- a/apps/qh-control/test/test_control_parts.cc
+++ b/apps/qh-control/test/test_control_parts.cc
@@ -6,10 +6,10 @@
 #include "contract_acceptance.h"
 #include "contract_table_reader.h"
 #include "control_vm.h"
-#include "gossip_codec.h"
 #include "platform_fake.h"
 #include "platform_task.h"
 #include "quetzalhinge/contract/contract_json.h"
+#include "quetzalhinge/gossip/gossip_codec.h"
 
 namespace qh::control {
 namespace {
@@ -48,11 +48,11 @@
 
 TEST_CASE("A gossip message survives its coding and keeps within its stated size") {
   const membership::GossipMessage message = FullMessage();
-  const std::string bytes = EncodeGossip(message);
+  const std::string bytes = gossip::EncodeGossip(message);
   CHECK(bytes.size() <= membership::EncodedBytes(message));
 
   SECTION("every field comes back") {
-    const auto decoded = DecodeGossip(bytes);
+    const auto decoded = gossip::DecodeGossip(bytes);
     REQUIRE(IsOk(decoded));
     CHECK(ValueOf(decoded).sender == message.sender);
     CHECK(ValueOf(decoded).known_members == message.known_members);
@@ -63,11 +63,11 @@
   SECTION("a cut message is an error or a message, never a crash") {
     const std::string_view whole = bytes;
     for (std::size_t length = 0; length < bytes.size(); ++length) {
-      const auto decoded = DecodeGossip(whole.substr(0, length));
+      const auto decoded = gossip::DecodeGossip(whole.substr(0, length));
       const bool refused = !IsOk(decoded);
       CHECK((refused ? ErrorOf(decoded).code : ErrorCode::kProtocol) == ErrorCode::kProtocol);
     }
-    CHECK_FALSE(IsOk(DecodeGossip(whole.substr(0, bytes.size() / 2))));
+    CHECK_FALSE(IsOk(gossip::DecodeGossip(whole.substr(0, bytes.size() / 2))));
   }
 }
 
--- a/apps/qh-entry/src/worker_pool.cc
+++ b/apps/qh-entry/src/worker_pool.cc
@@ -4,8 +4,8 @@
 #include <set>
 #include <utility>
 
-#include "crash_notices.h"
 #include "quetzalhinge/base/hash.h"
+#include "quetzalhinge/gossip/crash_notices.h"
 #include "quetzalhinge/http/http_message.h"
 #include "quetzalhinge/logging/log.h"
 #include "worker_signs.h"
@@ -199,7 +199,7 @@
       return;
     }
     for (const membership::Notice& follow_up :
-         ApplyCrashNotice(suspects, notice, loop.Now(), UnixNow())) {
+         gossip::ApplyCrashNotice(suspects, notice, loop.Now(), UnixNow())) {
       PublishCrash(follow_up);
     }
   }
@@ -338,7 +338,7 @@
       fingerprints.push_back(fingerprint);
     }
     const quarantine::CrashFindings findings = suspects.OnWorkerLost(worker, fingerprints, now);
-    for (const membership::Notice& notice : ToNotices(findings, UnixNow())) {
+    for (const membership::Notice& notice : gossip::ToNotices(findings, UnixNow())) {
       PublishCrash(notice);
     }
   }
--- a/apps/qh-entry/src/crash_notices.h
+++ b/libs/gossip/include/quetzalhinge/gossip/crash_notices.h
@@ -5,7 +5,7 @@
 #include "quetzalhinge/membership/notice.h"
 #include "quetzalhinge/quarantine/crash_suspects.h"
 
-namespace qh::entry {
+namespace qh::gossip {
 
 /** Returns the notices that tell other VMs of `findings`. */
 std::vector<membership::Notice> ToNotices(const quarantine::CrashFindings& findings,
@@ -19,4 +19,4 @@
                                                  const membership::Notice& notice, TimePoint now,
                                                  UnixMicros now_us);
 
-}  // namespace qh::entry
+}  // namespace qh::gossip
--- a/apps/qh-control/src/gossip_codec.h
+++ b/libs/gossip/include/quetzalhinge/gossip/gossip_codec.h
@@ -6,7 +6,7 @@
 #include "quetzalhinge/base/error.h"
 #include "quetzalhinge/membership/gossip_message.h"
 
-namespace qh::control {
+namespace qh::gossip {
 
 /** Returns the message in Cap'n Proto, at most membership::EncodedBytes(message) bytes. */
 std::string EncodeGossip(const membership::GossipMessage& message);
@@ -14,4 +14,4 @@
 /** Parses what EncodeGossip() returned; kProtocol on another form. */
 Result<membership::GossipMessage> DecodeGossip(std::string_view bytes);
 
-}  // namespace qh::control
+}  // namespace qh::gossip
--- a/apps/qh-control/src/gossip_task.h
+++ b/libs/gossip/include/quetzalhinge/gossip/gossip_task.h
@@ -4,12 +4,15 @@
 #include <string>
 #include <vector>
 
-#include "control_context.h"
+#include "quetzalhinge/auth/message_authenticator.h"
 #include "quetzalhinge/base/error.h"
+#include "quetzalhinge/base/random_id.h"
 #include "quetzalhinge/membership/gossip_planner.h"
 #include "quetzalhinge/membership/member_table.h"
+#include "quetzalhinge/metrics/metrics_registry.h"
+#include "quetzalhinge/net/event_loop.h"
 
-namespace qh::control {
+namespace qh::gossip {
 
 /** Hears what other VMs gossip. */
 class GossipObserver {
@@ -24,13 +27,34 @@
 
   /** Members are new, changed, or silent. */
   virtual void OnMembersChanged() = 0;
+
+  /** A member is heard from (again), or has fallen silent. */
+  virtual void OnMemberHeard(const std::string& vm, bool heard) = 0;
+
+  /** The own state has changed. */
+  virtual void OnOwnStateChanged(membership::MemberState state) = 0;
+};
+
+/** Who gossips, and with whom first. */
+struct GossipTaskOptions {
+  /** The own record; its gossip endpoint is bound. */
+  membership::MemberRecord self;
+  membership::MemberTableOptions table;
+  /** `envelope_bytes` is set by the task. */
+  membership::GossipOptions gossip;
+  auth::AuthenticatorOptions authenticator;
+  /** Authenticates the datagrams; at least MessageAuthenticator::kMinKeyBytes. */
+  std::string deployment_key;
+  /** Peers that are asked as long as no member has their endpoint. */
+  std::vector<IpEndpoint> seeds;
 };
 
 /** Owns the gossip socket, the member table and the notice board. */
 class GossipTask {
  public:
-  /** All arguments must outlive the task. */
-  GossipTask(ControlContext& context, GossipObserver& observer);
+  /** The loop, the generator, the metrics and the observer must outlive the task. */
+  GossipTask(net::EventLoop& loop, RandomGenerator& random, metrics::MetricsRegistry& metrics,
+             const GossipTaskOptions& options, GossipObserver& observer);
   ~GossipTask();
   GossipTask(const GossipTask&) = delete;
   GossipTask& operator=(const GossipTask&) = delete;
@@ -44,9 +68,12 @@
   /** Sets the own state; a change is told to some peers at once. */
   void SetOwnState(membership::MemberState state, const std::string& entry_incarnation);
 
-  /** Sets the newest contract revision known here; a change is told to some peers at once. */
+  /** Sets the newest revision known here; regular rounds carry it. Lower ones are ignored. */
   void SetOwnRevision(std::uint64_t revision);
 
+  /** Does the same and tells some peers of a higher revision at once. */
+  void AnnounceOwnRevision(std::uint64_t revision);
+
   /** Posts a notice of this VM and forwards it at once if it is news. Returns whether it is. */
   bool Post(const membership::Notice& notice);
 
@@ -60,4 +87,4 @@
   std::unique_ptr<Impl> m_impl;
 };
 
-}  // namespace qh::control
+}  // namespace qh::gossip
--- a/apps/qh-entry/src/crash_notices.cc
+++ b/libs/gossip/src/crash_notices.cc
@@ -1,4 +1,4 @@
-#include "crash_notices.h"
+#include "quetzalhinge/gossip/crash_notices.h"
 
 #include <algorithm>
 #include <charconv>
@@ -6,7 +6,7 @@
 
 #include "quetzalhinge/base/random_id.h"
 
-namespace qh::entry {
+namespace qh::gossip {
 namespace {
 
 using membership::Notice;
@@ -85,4 +85,4 @@
   return {};
 }
 
-}  // namespace qh::entry
+}  // namespace qh::gossip
--- a/apps/qh-control/src/gossip_codec.cc
+++ b/libs/gossip/src/gossip_codec.cc
@@ -1,4 +1,4 @@
-#include "gossip_codec.h"
+#include "quetzalhinge/gossip/gossip_codec.h"
 
 #include <arpa/inet.h>
 #include <capnp/message.h>
@@ -10,7 +10,7 @@
 #include "gossip.capnp.h"
 #include "quetzalhinge/messages/member_messages.h"
 
-namespace qh::control {
+namespace qh::gossip {
 namespace {
 
 using membership::GossipMessage;
@@ -160,4 +160,4 @@
   return message;
 }
 
-}  // namespace qh::control
+}  // namespace qh::gossip
--- a/apps/qh-control/src/gossip_task.cc
+++ b/libs/gossip/src/gossip_task.cc
@@ -1,15 +1,14 @@
-#include "gossip_task.h"
+#include "quetzalhinge/gossip/gossip_task.h"
 
 #include <set>
 #include <utility>
 
-#include "gossip_codec.h"
-#include "quetzalhinge/auth/message_authenticator.h"
+#include "quetzalhinge/gossip/gossip_codec.h"
 #include "quetzalhinge/membership/notice_board.h"
 #include "quetzalhinge/net/timer.h"
 #include "quetzalhinge/net/udp_socket.h"
 
-namespace qh::control {
+namespace qh::gossip {
 namespace {
 
 using membership::GossipMessage;
@@ -20,38 +19,19 @@
 /** A revision is news for as long as a message may be lost or delayed; heartbeats carry it too. */
 constexpr std::chrono::milliseconds kRevisionNoticeLifetime{10000};
 
-MemberRecord OwnRecord(const vm_settings::EntryVmSettings& settings) {
-  MemberRecord record;
-  record.vm = settings.name;
-  record.zone = settings.zone;
-  record.slot = static_cast<std::uint16_t>(settings.slot);
-  record.generation = static_cast<std::uint64_t>(UnixNow());
-  record.endpoints.calls = settings.addresses.callers;
-  record.endpoints.entry_rpc = settings.addresses.entry_rpc;
-  record.endpoints.control_rpc = settings.addresses.control_rpc;
-  record.endpoints.gossip = settings.addresses.gossip;
-  record.endpoints.operators = settings.addresses.operators;
-  return record;
-}
-
-membership::MemberTableOptions TableOptions(const vm_settings::EntryVmSettings& settings) {
-  membership::MemberTableOptions options;
-  options.vm_count = static_cast<std::size_t>(settings.vm_count);
-  return options;
-}
-
-membership::GossipOptions PlannerOptions(const vm_settings::EntryVmSettings& settings) {
-  membership::GossipOptions options;
-  options.envelope_bytes = auth::MessageAuthenticator::OverheadBytes(settings.name.size());
+membership::GossipOptions WithEnvelope(membership::GossipOptions options, std::size_t name_bytes) {
+  options.envelope_bytes = auth::MessageAuthenticator::OverheadBytes(name_bytes);
   return options;
 }
 
 }  // namespace
 
 struct GossipTask::Impl {
-  ControlContext& context;
+  net::EventLoop& loop;
+  RandomGenerator& random;
+  metrics::MetricsRegistry& metrics;
+  GossipTaskOptions options;
   GossipObserver& observer;
-  membership::GossipOptions options;
   membership::GossipPlanner planner;
   membership::MemberTable table;
   membership::NoticeBoard board;
@@ -60,29 +40,30 @@
   net::Timer timer;
   std::set<std::string> heard;
 
-  Impl(ControlContext& process_context, GossipObserver& gossip_observer)
-      : context(process_context),
+  Impl(net::EventLoop& event_loop, RandomGenerator& generator, metrics::MetricsRegistry& registry,
+       const GossipTaskOptions& task_options, GossipObserver& gossip_observer)
+      : loop(event_loop),
+        random(generator),
+        metrics(registry),
+        options(task_options),
         observer(gossip_observer),
-        options(PlannerOptions(context.settings)),
-        planner(options),
-        table(OwnRecord(context.settings), TableOptions(context.settings)),
+        planner(WithEnvelope(options.gossip, options.self.vm.size())),
+        table(options.self, options.table),
         // The settings have refused a key that is too short.
-        authenticator(
-            TakeValue(auth::MessageAuthenticator::Create({context.settings.deployment_key}))),
-        socket(context.loop, [this](const IpEndpoint&, std::string_view data) { Receive(data); }),
-        timer(context.loop, [this] { RunRound(); }) {
-    table.SetSeeds(context.settings.seeds);
+        authenticator(TakeValue(
+            auth::MessageAuthenticator::Create({options.deployment_key}, options.authenticator))),
+        socket(loop, [this](const IpEndpoint&, std::string_view data) { Receive(data); }),
+        timer(loop, [this] { RunRound(); }) {
+    table.SetSeeds(options.seeds);
   }
 
   metrics::Counter& CounterOf(const char* name, const char* direction) {
-    return context.metrics.CounterOf(
-        name, "kind=\"gossip\",direction=\"" + std::string(direction) + "\"");
+    return metrics.CounterOf(name, "kind=\"gossip\",direction=\"" + std::string(direction) + "\"");
   }
 
   void RunRound() {
     board.Expire(UnixNow());
-    const auto planned =
-        planner.PlanRound(table, board, context.loop.Now(), UnixNow(), context.random);
+    const auto planned = planner.PlanRound(table, board, loop.Now(), UnixNow(), random);
     if (planned.has_value()) {
       Send(*planned);
     }
@@ -92,41 +73,41 @@
   /** Reports members that came or fell silent since the last round. */
   void NoteHeard() {
     std::set<std::string> now_heard;
-    for (const membership::Member* member : table.HeardMembers(context.loop.Now())) {
+    for (const membership::Member* member : table.HeardMembers(loop.Now())) {
       now_heard.insert(member->record.vm);
     }
     if (now_heard != heard) {
       for (const std::string& vm : now_heard) {
         if (heard.count(vm) == 0) {
-          context.events.Add("member_heard", {"", "", vm});
+          observer.OnMemberHeard(vm, true);
         }
       }
       for (const std::string& vm : heard) {
         if (now_heard.count(vm) == 0) {
-          context.events.Add("member_silent", {"", "", vm});
+          observer.OnMemberHeard(vm, false);
         }
       }
       heard = std::move(now_heard);
-      context.metrics.GaugeOf("qh_control_members_heard").Set(static_cast<double>(heard.size()));
+      metrics.GaugeOf("qh_control_members_heard").Set(static_cast<double>(heard.size()));
       observer.OnMembersChanged();
     }
   }
 
   void Send(const PlannedMessage& planned) {
     const std::string datagram =
-        authenticator.Seal(context.settings.name, EncodeGossip(planned.message), UnixNow());
+        authenticator.Seal(options.self.vm, EncodeGossip(planned.message), UnixNow());
     CounterOf("qh_control_messages_total", "sent").Add();
     CounterOf("qh_control_bytes_total", "sent").Add(datagram.size());
-    if (datagram.size() > options.max_datagram_bytes) {
-      context.metrics.CounterOf("qh_control_gossip_oversized_total").Add();
+    if (datagram.size() > options.gossip.max_datagram_bytes) {
+      metrics.CounterOf("qh_control_gossip_oversized_total").Add();
     }
     if (!socket.Send(planned.to, datagram)) {
-      context.metrics.CounterOf("qh_control_gossip_send_failures_total").Add();
+      metrics.CounterOf("qh_control_gossip_send_failures_total").Add();
     }
   }
 
   void Forward(const std::vector<Notice>& notices) {
-    SendAll(planner.PlanForward(table, notices, context.loop.Now(), context.random));
+    SendAll(planner.PlanForward(table, notices, loop.Now(), random));
   }
 
   void SendAll(const std::vector<PlannedMessage>& messages) {
@@ -152,21 +133,20 @@
       Refuse(ErrorCode::kUnauthenticated);
       return;
     }
-    Take(ValueOf(message), context.loop.Now() - ValueOf(opened).age);
+    Take(ValueOf(message), loop.Now() - ValueOf(opened).age);
   }
 
   void Refuse(ErrorCode code) {
-    context.metrics
+    metrics
         .CounterOf("qh_control_gossip_refused_total",
                    "reason=\"" + std::string(ToString(code)) + "\"")
         .Add();
   }
 
   void Take(const GossipMessage& message, TimePoint observed_at) {
-    const auto receipt = planner.Receive(message, table, board, context.loop.Now(), UnixNow());
+    const auto receipt = planner.Receive(message, table, board, loop.Now(), UnixNow());
     if (receipt.is_sender_behind) {
-      SendAll(planner.PlanJoinReply(table, message.sender.endpoints.gossip, context.loop.Now(),
-                                    context.random));
+      SendAll(planner.PlanJoinReply(table, message.sender.endpoints.gossip, loop.Now(), random));
     }
     observer.OnPeerHeard(message.sender, observed_at);
     if (!receipt.fresh_notices.empty()) {
@@ -182,21 +162,23 @@
   }
 };
 
-GossipTask::GossipTask(ControlContext& context, GossipObserver& observer)
-    : m_impl(std::make_unique<Impl>(context, observer)) {}
+GossipTask::GossipTask(net::EventLoop& loop, RandomGenerator& random,
+                       metrics::MetricsRegistry& metrics, const GossipTaskOptions& options,
+                       GossipObserver& observer)
+    : m_impl(std::make_unique<Impl>(loop, random, metrics, options, observer)) {}
 GossipTask::~GossipTask() = default;
 
 Result<Success> GossipTask::Start() {
-  const auto bound = m_impl->socket.Bind(m_impl->context.settings.addresses.gossip);
+  const auto bound = m_impl->socket.Bind(m_impl->options.self.endpoints.gossip);
   if (IsOk(bound)) {
-    m_impl->timer.StartRepeating(m_impl->options.interval);
+    m_impl->timer.StartRepeating(m_impl->options.gossip.interval);
     m_impl->RunRound();
   }
   return bound;
 }
 
 void GossipTask::SetListedPeers(const std::vector<IpEndpoint>& peers) {
-  std::vector<IpEndpoint> seeds = m_impl->context.settings.seeds;
+  std::vector<IpEndpoint> seeds = m_impl->options.seeds;
   seeds.insert(seeds.end(), peers.begin(), peers.end());
   m_impl->table.SetSeeds(seeds);
 }
@@ -207,11 +189,17 @@
     return;
   }
   m_impl->table.SetOwnState(state, entry_incarnation);
-  m_impl->context.events.Add("own_state", {"", "", membership::kMemberStateNames.NameOf(state)});
+  m_impl->observer.OnOwnStateChanged(state);
   m_impl->Forward({});
 }
 
 void GossipTask::SetOwnRevision(std::uint64_t revision) {
+  if (revision > m_impl->table.Self().revision) {
+    m_impl->table.SetOwnRevision(revision);
+  }
+}
+
+void GossipTask::AnnounceOwnRevision(std::uint64_t revision) {
   if (revision <= m_impl->table.Self().revision) {
     return;
   }
@@ -243,4 +231,4 @@
   return notices;
 }
 
-}  // namespace qh::control
+}  // namespace qh::gossip
