--- /dev/null
+++ b/libs/http/src/client_connection.cc
@@ -0,0 +1,226 @@
+#include "quetzalhinge/http/client_connection.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "quetzalhinge/net/tcp_connection.h"
+#include "quetzalhinge/net/timer.h"
+
+namespace qh::http {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Part of the peer's idle time for which a connection is trusted; the rest covers the way there.
+ */
+constexpr double kTrustedPartOfIdleTime = 0.8;
+
+std::string Serialize(const ClientRequest& call, const IpEndpoint& peer) {
+  const HttpRequest& request = call.request;
+  std::string text = request.method + " " + request.path +
+                     " HTTP/1.1\r\nHost: " + (call.host.empty() ? ToString(peer) : call.host) +
+                     "\r\n";
+  for (const HttpHeader& header : WithoutHopByHop(request.headers)) {
+    if (header.name != "host") {
+      text += header.name + ": " + header.value + "\r\n";
+    }
+  }
+  if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
+    text += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  return text + "\r\n" + request.body;
+}
+
+/** Returns the value of "timeout=" in a Keep-Alive header, or nothing. */
+std::optional<std::chrono::seconds> KeepAliveTimeout(const HttpHeaders& headers) {
+  const auto value = FindHeader(headers, "keep-alive");
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t start = value.has_value() ? value->find(kName) : std::string_view::npos;
+  if (start == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view digits = value->substr(start + kName.size());
+  int seconds = 0;
+  const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return parsed.ec == std::errc() ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
+}  // namespace
+
+struct ClientConnection::Impl : public net::TcpObserver,
+                                public std::enable_shared_from_this<ClientConnection::Impl> {
+  net::EventLoop& loop;
+  IpEndpoint peer;
+  ClientConnectionOptions options;
+  MessageReader reader;
+  net::Timer timer;
+  std::unique_ptr<net::TcpConnection> tcp;
+  Callback callback;
+  std::function<bool(const HttpResponse&)> is_own_response;
+  bool is_head = false;
+  bool established = false;
+  bool spent = false;
+  bool in_call = false;
+  bool abandoned = false;
+  /** A response of an earlier call came in this call's place. */
+  bool saw_foreign_response = false;
+  CallStage stage = CallStage::kNotConnected;
+  TimePoint deadline{};
+  TimePoint idle_until{};
+
+  Impl(net::EventLoop& event_loop, IpEndpoint peer_endpoint, const ClientConnectionOptions& opts)
+      : loop(event_loop),
+        peer(std::move(peer_endpoint)),
+        options(opts),
+        reader(MessageKind::kResponse, opts.limits),
+        timer(loop, [this] { OnTimer(); }) {}
+
+  void Open() {
+    tcp = std::make_unique<net::TcpConnection>(loop, peer, *this);
+    idle_until = loop.Now() + options.idle_timeout;
+  }
+
+  void Start(const ClientRequest& request, Callback on_result) {
+    callback = std::move(on_result);
+    is_own_response = request.is_own_response;
+    is_head = request.request.method == "HEAD";
+    in_call = true;
+    stage = established ? CallStage::kSent : CallStage::kNotConnected;
+    deadline = loop.Now() + request.timeout;
+    reader.Restart(is_head);
+    if (!tcp->IsOpen()) {
+      // Posted, because callers expect the callback after this function has returned.
+      loop.Post([self = shared_from_this()] {
+        self->Fail(ErrorCode::kUnavailable, "connect", "no socket", true);
+      });
+      return;
+    }
+    timer.StartOnce(established ? request.timeout
+                                : std::min(request.timeout, options.connect_timeout));
+    tcp->Write(Serialize(request, peer));
+  }
+
+  void OnConnected() override {
+    established = true;
+    if (in_call) {
+      stage = CallStage::kSent;
+      timer.StartOnce(
+          std::max(milliseconds(1), std::chrono::ceil<milliseconds>(deadline - loop.Now())));
+    }
+  }
+
+  void OnBytes(std::string_view bytes) override {
+    const auto self = shared_from_this();
+    while (!bytes.empty() && in_call && !spent) {
+      bytes.remove_prefix(reader.Read(bytes));
+      if (reader.IsHeadComplete()) {
+        stage = CallStage::kResponseStarted;
+      }
+      if (reader.Fault().has_value()) {
+        Fail(ErrorCode::kProtocol, "read response", ToString(*reader.Fault()), false);
+        return;
+      }
+      if (!reader.IsComplete()) {
+        return;
+      }
+      TakeResponse(!bytes.empty());
+    }
+    if (!bytes.empty()) {
+      // Nobody asked for these bytes; whatever follows could be mistaken for an answer.
+      spent = true;
+      tcp.reset();
+    }
+  }
+
+  void TakeResponse(bool bytes_follow) {
+    HttpResponse response = std::move(reader.Response());
+    const bool keeps = reader.KeepsConnection();
+    reader.Restart(is_head);
+    if (is_own_response != nullptr && !is_own_response(response)) {
+      saw_foreign_response = true;
+      if (!keeps) {
+        Fail(ErrorCode::kProtocol, "read response", "response to another request", false);
+      }
+      return;
+    }
+    const bool sent_completely = tcp != nullptr && tcp->QueuedBytes() == 0;
+    if (!keeps || bytes_follow || saw_foreign_response || !sent_completely) {
+      spent = true;
+    }
+    const auto stated = KeepAliveTimeout(response.headers);
+    const milliseconds idle = stated.has_value() ? milliseconds(*stated) : options.idle_timeout;
+    idle_until =
+        loop.Now() + std::chrono::duration_cast<milliseconds>(idle * kTrustedPartOfIdleTime);
+    Finish(std::move(response));
+  }
+
+  void OnEnd(net::TcpEnd end, const Error& error) override {
+    const auto self = shared_from_this();
+    spent = true;
+    if (!in_call) {
+      return;
+    }
+    if (end == net::TcpEnd::kClosedByPeer) {
+      reader.ReadEnd();
+      if (reader.IsComplete()) {
+        TakeResponse(false);
+        return;
+      }
+    }
+    Fail(error.code, error.step.c_str(), error.detail.c_str(), true);
+  }
+
+  void OnTimer() {
+    Fail(ErrorCode::kTimeout, established ? "wait for response" : "connect", "no progress in time",
+         false);
+  }
+
+  void Fail(ErrorCode code, const char* step, const char* detail, bool closed_by_peer) {
+    if (!in_call) {
+      return;
+    }
+    spent = true;
+    Finish(HttpCallFailure{Error{code, step, ToString(peer), detail}, stage, closed_by_peer});
+  }
+
+  void Finish(HttpCallResult result) {
+    in_call = false;
+    timer.Stop();
+    if (spent) {
+      tcp.reset();
+    }
+    Callback run = std::move(callback);
+    callback = nullptr;
+    if (run != nullptr && !abandoned) {
+      run(std::move(result));
+    }
+  }
+};
+
+ClientConnection::ClientConnection(net::EventLoop& loop, const IpEndpoint& peer,
+                                   const ClientConnectionOptions& options)
+    : m_impl(std::make_shared<Impl>(loop, peer, options)) {
+  m_impl->Open();
+}
+
+ClientConnection::~ClientConnection() {
+  m_impl->abandoned = true;
+  m_impl->in_call = false;
+  m_impl->spent = true;
+  m_impl->callback = nullptr;
+  m_impl->timer.Stop();
+  m_impl->tcp.reset();
+}
+
+void ClientConnection::Start(const ClientRequest& request, Callback callback) {
+  m_impl->Start(request, std::move(callback));
+}
+
+bool ClientConnection::IsIdle() const noexcept { return !m_impl->in_call && !m_impl->spent; }
+bool ClientConnection::IsSpent() const noexcept { return m_impl->spent; }
+bool ClientConnection::WasEstablished() const noexcept { return m_impl->established; }
+TimePoint ClientConnection::IdleUntil() const noexcept { return m_impl->idle_until; }
+
+}  // namespace qh::http
--- /dev/null
+++ b/libs/http/src/connection_server.cc
@@ -0,0 +1,381 @@
+#include "quetzalhinge/http/connection_server.h"
+
+#include <algorithm>
+#include <cctype>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "quetzalhinge/net/tcp_connection.h"
+#include "quetzalhinge/net/tcp_listener.h"
+#include "quetzalhinge/net/timer.h"
+
+namespace qh::http {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** How often connections are checked for timeouts; a timeout is late by this much at most. */
+constexpr milliseconds kSweepInterval{250};
+
+/** Bytes of later requests that are read while a response is owed; then reading pauses. */
+constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+
+/** How long a closing connection waits for the peer to close its side. */
+constexpr milliseconds kLingerTime{1000};
+
+std::string Serialize(const HttpResponse& response, bool is_head, bool close) {
+  std::string text =
+      "HTTP/1.1 " + std::to_string(response.status) + " " + ReasonPhrase(response.status) + "\r\n";
+  for (const HttpHeader& header : WithoutHopByHop(response.headers)) {
+    text += header.name + ": " + header.value + "\r\n";
+  }
+  if (response.status != 204 && response.status != 304) {
+    text += "content-length: " + std::to_string(response.body.size()) + "\r\n";
+  }
+  text += close ? "connection: close\r\n\r\n" : "\r\n";
+  return is_head ? text : text + response.body;
+}
+
+int StatusOf(ReadFault fault) {
+  switch (fault) {
+    case ReadFault::kHeadTooLarge:
+      return 431;
+    case ReadFault::kBodyTooLarge:
+      return 413;
+    case ReadFault::kMalformed:
+    case ReadFault::kCutShort:
+      break;
+  }
+  return 400;
+}
+
+bool EqualsIgnoringCase(std::string_view text, std::string_view lower) {
+  return std::equal(text.begin(), text.end(), lower.begin(), lower.end(), [](char a, char b) {
+    return std::tolower(static_cast<unsigned char>(a)) == b;
+  });
+}
+
+}  // namespace
+
+struct ConnectionServer::Impl : public std::enable_shared_from_this<ConnectionServer::Impl> {
+  class Connection;
+  class Exchange;
+
+  net::EventLoop& loop;
+  ConnectionLimits limits;
+  Handler handler;
+  std::unique_ptr<net::TcpListener> listener;
+  IpEndpoint local;
+  net::Timer sweep;
+  std::map<Connection*, std::shared_ptr<Connection>> connections;
+  std::size_t in_progress = 0;
+  bool close_after_responses = false;
+  RefusalCounts refused;
+
+  Impl(net::EventLoop& event_loop, const ConnectionLimits& connection_limits, Handler on_request)
+      : loop(event_loop),
+        limits(connection_limits),
+        handler(std::move(on_request)),
+        sweep(loop, [this] { Sweep(); }) {}
+
+  void Accept(uv_stream_s* stream);
+  void Sweep();
+};
+
+class ConnectionServer::Impl::Connection : public net::TcpObserver,
+                                           public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Impl& server, uv_stream_s* listener)
+      : m_server(server),
+        m_reader(MessageKind::kRequest, server.limits.message),
+        m_tcp(std::make_unique<net::TcpConnection>(server.loop, listener, *this)),
+        m_waiting_since(server.loop.Now()) {}
+
+  bool IsOpen() const { return m_tcp != nullptr && m_tcp->IsOpen(); }
+  bool IsIdle() const { return m_exchange.expired() && !m_closing && !m_reader.IsStarted(); }
+  const IpEndpoint& Peer() const { return m_tcp->Peer(); }
+  void OnBytes(std::string_view bytes) override;
+  void OnEnd(net::TcpEnd end, const Error& error) override;
+  void OnAllWritten() override {}
+  void Send(const HttpResponse& response, bool is_head);
+  void CheckTimeouts(TimePoint now);
+
+  /** Closes at once; the peer sees a reset if it has sent bytes that were not read. */
+  void Drop();
+
+  /** Ends the connection after the queued bytes, and waits for the peer to do the same. */
+  void CloseGently() {
+    m_closing = true;
+    m_waiting_since = m_server.loop.Now();
+    m_tcp->FinishWriting();
+    m_tcp->SetReading(true);
+  }
+
+ private:
+  void ReadRequests();
+  void Handle();
+  void Refuse(int status);
+  void AskForBody();
+
+  Impl& m_server;
+  MessageReader m_reader;
+  std::unique_ptr<net::TcpConnection> m_tcp;
+  std::string m_unread;
+  std::weak_ptr<Exchange> m_exchange;
+  TimePoint m_waiting_since;
+  bool m_asked_for_body = false;
+  bool m_closing = false;
+  bool m_reading_now = false;
+};
+
+class ConnectionServer::Impl::Exchange : public ServerExchange {
+ public:
+  Exchange(std::shared_ptr<Impl> server, const std::shared_ptr<Connection>& connection,
+           HttpRequest request, bool keep)
+      : m_server(std::move(server)),
+        m_connection(connection),
+        m_request(std::move(request)),
+        m_peer(connection->Peer()),
+        m_keep(keep) {
+    ++m_server->in_progress;
+  }
+
+  ~Exchange() override {
+    if (!m_answered) {
+      Respond(HttpResponse{500, {}, "", true});
+    }
+  }
+
+  const HttpRequest& Request() const noexcept override { return m_request; }
+  const IpEndpoint& Peer() const noexcept override { return m_peer; }
+  bool IsConnected() const noexcept override { return !m_connection.expired(); }
+  void OnPeerGone(std::function<void()> callback) override { m_on_peer_gone = std::move(callback); }
+
+  void Respond(const HttpResponse& response) override {
+    if (m_answered) {
+      return;
+    }
+    m_answered = true;
+    --m_server->in_progress;
+    const std::shared_ptr<Connection> connection = m_connection.lock();
+    if (connection != nullptr) {
+      HttpResponse sent = response;
+      sent.close_connection =
+          response.close_connection || !m_keep || m_server->close_after_responses;
+      connection->Send(sent, m_request.method == "HEAD");
+    }
+  }
+
+  void PeerGone() {
+    m_connection.reset();
+    if (!m_answered && m_on_peer_gone != nullptr) {
+      const std::function<void()> callback = std::move(m_on_peer_gone);
+      callback();
+    }
+  }
+
+ private:
+  std::shared_ptr<Impl> m_server;
+  std::weak_ptr<Connection> m_connection;
+  HttpRequest m_request;
+  IpEndpoint m_peer;
+  std::function<void()> m_on_peer_gone;
+  bool m_keep;
+  bool m_answered = false;
+};
+
+void ConnectionServer::Impl::Connection::OnBytes(std::string_view bytes) {
+  const auto self = shared_from_this();
+  if (m_closing) {
+    return;
+  }
+  if (m_unread.empty() && m_exchange.expired() && !m_reader.IsStarted()) {
+    m_waiting_since = m_server.loop.Now();
+  } else if (m_reader.IsHeadComplete()) {
+    // A body that makes progress is not idle.
+    m_waiting_since = m_server.loop.Now();
+  }
+  m_unread.append(bytes);
+  ReadRequests();
+  if (!m_exchange.expired() && m_unread.size() > kMaxPipelinedBytes && m_tcp != nullptr) {
+    m_tcp->SetReading(false);
+  }
+}
+
+void ConnectionServer::Impl::Connection::ReadRequests() {
+  if (m_reading_now) {
+    return;
+  }
+  m_reading_now = true;
+  while (!m_unread.empty() && m_exchange.expired() && !m_closing && m_tcp != nullptr) {
+    m_unread.erase(0, m_reader.Read(m_unread));
+    if (m_reader.Fault().has_value()) {
+      const ReadFault fault = *m_reader.Fault();
+      ++(fault == ReadFault::kHeadTooLarge   ? m_server.refused.head_too_large
+         : fault == ReadFault::kBodyTooLarge ? m_server.refused.body_too_large
+                                             : m_server.refused.malformed);
+      Refuse(StatusOf(fault));
+      break;
+    }
+    if (!m_reader.IsComplete()) {
+      AskForBody();
+      break;
+    }
+    Handle();
+  }
+  m_reading_now = false;
+}
+
+void ConnectionServer::Impl::Connection::AskForBody() {
+  if (!m_reader.IsHeadComplete() || m_asked_for_body) {
+    return;
+  }
+  const auto expect = FindHeader(m_reader.Request().headers, "expect");
+  if (expect.has_value() && EqualsIgnoringCase(*expect, "100-continue")) {
+    m_asked_for_body = true;
+    m_tcp->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void ConnectionServer::Impl::Connection::Handle() {
+  auto exchange =
+      std::make_shared<Exchange>(m_server.shared_from_this(), shared_from_this(),
+                                 std::move(m_reader.Request()), m_reader.KeepsConnection());
+  m_exchange = exchange;
+  m_asked_for_body = false;
+  m_reader.SetLimits(m_server.limits.message);
+  m_reader.Restart();
+  m_server.handler(std::move(exchange));
+}
+
+void ConnectionServer::Impl::Connection::Refuse(int status) {
+  Send(HttpResponse{status, {}, "", true}, false);
+}
+
+void ConnectionServer::Impl::Connection::Send(const HttpResponse& response, bool is_head) {
+  if (m_tcp == nullptr) {
+    return;
+  }
+  const auto self = shared_from_this();
+  m_exchange.reset();
+  m_waiting_since = m_server.loop.Now();
+  m_tcp->Write(Serialize(response, is_head, response.close_connection));
+  if (response.close_connection) {
+    m_unread.clear();
+    CloseGently();
+    return;
+  }
+  m_tcp->SetReading(true);
+  if (!m_unread.empty()) {
+    // Later, so that a peer with many requests does not grow the stack.
+    m_server.loop.Post([self] { self->ReadRequests(); });
+  }
+}
+
+void ConnectionServer::Impl::Connection::OnEnd(net::TcpEnd /*end*/, const Error& /*error*/) {
+  const auto self = shared_from_this();
+  const std::shared_ptr<Exchange> exchange = m_exchange.lock();
+  Drop();
+  if (exchange != nullptr) {
+    exchange->PeerGone();
+  }
+}
+
+void ConnectionServer::Impl::Connection::Drop() {
+  m_tcp.reset();
+  const auto self = shared_from_this();
+  m_server.connections.erase(this);
+}
+
+void ConnectionServer::Impl::Connection::CheckTimeouts(TimePoint now) {
+  if (!m_exchange.expired()) {
+    return;
+  }
+  const Duration waited = now - m_waiting_since;
+  if (m_closing) {
+    if (waited > kLingerTime && m_tcp->QueuedBytes() == 0) {
+      Drop();
+    }
+    return;
+  }
+  if (!m_reader.IsStarted()) {
+    if (waited > m_server.limits.idle_timeout) {
+      Drop();
+    }
+    return;
+  }
+  const milliseconds limit =
+      m_reader.IsHeadComplete() ? m_server.limits.idle_timeout : m_server.limits.head_timeout;
+  if (waited > limit) {
+    ++m_server.refused.timed_out;
+    Refuse(408);
+  }
+}
+
+void ConnectionServer::Impl::Accept(uv_stream_s* stream) {
+  auto connection = std::make_shared<Connection>(*this, stream);
+  if (connection->IsOpen()) {
+    connections[connection.get()] = std::move(connection);
+  }
+}
+
+void ConnectionServer::Impl::Sweep() {
+  const TimePoint now = loop.Now();
+  std::vector<std::shared_ptr<Connection>> open;
+  open.reserve(connections.size());
+  for (const auto& [key, connection] : connections) {
+    open.push_back(connection);
+  }
+  for (const std::shared_ptr<Connection>& connection : open) {
+    connection->CheckTimeouts(now);
+  }
+}
+
+ConnectionServer::ConnectionServer(net::EventLoop& loop, const ConnectionLimits& limits,
+                                   Handler handler)
+    : m_impl(std::make_shared<Impl>(loop, limits, std::move(handler))) {}
+
+ConnectionServer::~ConnectionServer() {
+  m_impl->sweep.Stop();
+  m_impl->listener.reset();
+  m_impl->handler = nullptr;
+  m_impl->connections.clear();
+}
+
+Result<Success> ConnectionServer::Listen(const IpEndpoint& endpoint) {
+  m_impl->listener = std::make_unique<net::TcpListener>(
+      m_impl->loop, [impl = m_impl.get()](uv_stream_s* stream) { impl->Accept(stream); });
+  Result<Success> listening = m_impl->listener->Listen(endpoint);
+  if (IsOk(listening)) {
+    m_impl->local = m_impl->listener->LocalEndpoint();
+    m_impl->sweep.StartRepeating(kSweepInterval);
+  }
+  return listening;
+}
+
+IpEndpoint ConnectionServer::LocalEndpoint() const { return m_impl->local; }
+void ConnectionServer::SetLimits(const ConnectionLimits& limits) { m_impl->limits = limits; }
+void ConnectionServer::CloseAfterResponses() { m_impl->close_after_responses = true; }
+void ConnectionServer::StopAccepting() { m_impl->listener.reset(); }
+
+void ConnectionServer::CloseIdleConnections() {
+  std::vector<std::shared_ptr<Impl::Connection>> idle;
+  for (const auto& [key, connection] : m_impl->connections) {
+    if (connection->IsIdle()) {
+      idle.push_back(connection);
+    }
+  }
+  for (const std::shared_ptr<Impl::Connection>& connection : idle) {
+    connection->CloseGently();
+  }
+}
+
+std::size_t ConnectionServer::OpenConnections() const noexcept {
+  return m_impl->connections.size();
+}
+
+std::size_t ConnectionServer::InProgress() const noexcept { return m_impl->in_progress; }
+const RefusalCounts& ConnectionServer::Refused() const noexcept { return m_impl->refused; }
+
+}  // namespace qh::http
--- /dev/null
+++ b/libs/http/src/message_reader.cc
@@ -0,0 +1,219 @@
+#include "quetzalhinge/http/message_reader.h"
+
+#include <http_parser.h>
+
+#include <cctype>
+#include <utility>
+
+#include "quetzalhinge/base/enum_table.h"
+
+namespace qh::http {
+namespace {
+
+constexpr EnumTable<ReadFault, 4> kFaultNames{{{
+    {ReadFault::kMalformed, "malformed"},
+    {ReadFault::kHeadTooLarge, "head_too_large"},
+    {ReadFault::kBodyTooLarge, "body_too_large"},
+    {ReadFault::kCutShort, "cut_short"},
+}}};
+
+constexpr int kFirstFinalStatus = 200;
+
+}  // namespace
+
+const char* ToString(ReadFault fault) noexcept { return kFaultNames.NameOf(fault); }
+
+struct MessageReader::Impl {
+  MessageKind kind;
+  ReaderLimits limits;
+  http_parser parser{};
+  HttpRequest request;
+  HttpResponse response;
+  std::size_t head_bytes = 0;
+  bool is_response_to_head = false;
+  bool reading_value = false;
+  bool started = false;
+  bool head_complete = false;
+  bool complete = false;
+  bool keeps_connection = false;
+  std::optional<ReadFault> fault;
+
+  Impl(MessageKind message_kind, const ReaderLimits& reader_limits)
+      : kind(message_kind), limits(reader_limits) {
+    Restart();
+  }
+
+  void Restart() {
+    http_parser_init(&parser, kind == MessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+    parser.data = this;
+    request = HttpRequest{};
+    response = HttpResponse{};
+    head_bytes = 0;
+    reading_value = false;
+    started = false;
+    head_complete = false;
+    complete = false;
+    keeps_connection = false;
+    fault.reset();
+  }
+
+  HttpHeaders& Headers() {
+    return kind == MessageKind::kRequest ? request.headers : response.headers;
+  }
+  std::string& Body() { return kind == MessageKind::kRequest ? request.body : response.body; }
+
+  static Impl& From(http_parser* parser) { return *static_cast<Impl*>(parser->data); }
+
+  int Refuse(ReadFault reason) {
+    fault = reason;
+    return 1;
+  }
+
+  static int OnUrl(http_parser* parser, const char* text, std::size_t size) {
+    From(parser).request.path.append(text, size);
+    return 0;
+  }
+
+  static int OnHeaderField(http_parser* parser, const char* text, std::size_t size) {
+    Impl& impl = From(parser);
+    if (impl.head_complete) {
+      // Trailers after a chunked body are dropped.
+      return 0;
+    }
+    HttpHeaders& headers = impl.Headers();
+    if (headers.empty() || impl.reading_value) {
+      headers.emplace_back();
+      impl.reading_value = false;
+    }
+    for (std::size_t i = 0; i < size; ++i) {
+      headers.back().name += static_cast<char>(std::tolower(static_cast<unsigned char>(text[i])));
+    }
+    return 0;
+  }
+
+  static int OnHeaderValue(http_parser* parser, const char* text, std::size_t size) {
+    Impl& impl = From(parser);
+    if (!impl.head_complete) {
+      impl.reading_value = true;
+      impl.Headers().back().value.append(text, size);
+    }
+    return 0;
+  }
+
+  /** Returns 1 where no body follows, as http_parser asks for. */
+  static int OnHeadComplete(http_parser* parser) {
+    Impl& impl = From(parser);
+    impl.head_complete = true;
+    impl.response.status = parser->status_code;
+    if (impl.kind == MessageKind::kRequest) {
+      impl.request.method = http_method_str(static_cast<http_method>(parser->method));
+      if (parser->upgrade != 0) {
+        // Tunnels are not offered; the request is answered like any other.
+        parser->upgrade = 0;
+      }
+    }
+    const bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+    if (has_length && parser->content_length > impl.limits.max_body_bytes) {
+      impl.fault = ReadFault::kBodyTooLarge;
+      return -1;
+    }
+    return impl.is_response_to_head ? 1 : 0;
+  }
+
+  static int OnBody(http_parser* parser, const char* bytes, std::size_t size) {
+    Impl& impl = From(parser);
+    if (impl.Body().size() + size > impl.limits.max_body_bytes) {
+      return impl.Refuse(ReadFault::kBodyTooLarge);
+    }
+    impl.Body().append(bytes, size);
+    return 0;
+  }
+
+  static int OnMessageComplete(http_parser* parser) {
+    Impl& impl = From(parser);
+    if (impl.kind == MessageKind::kResponse && impl.response.status < kFirstFinalStatus) {
+      impl.response = HttpResponse{};
+      impl.head_complete = false;
+      impl.reading_value = false;
+      impl.head_bytes = 0;
+      return 0;
+    }
+    impl.complete = true;
+    impl.keeps_connection = http_should_keep_alive(parser) != 0;
+    http_parser_pause(parser, 1);
+    return 0;
+  }
+
+  static const http_parser_settings& Settings() {
+    static const http_parser_settings settings = [] {
+      http_parser_settings callbacks;
+      http_parser_settings_init(&callbacks);
+      callbacks.on_url = OnUrl;
+      callbacks.on_header_field = OnHeaderField;
+      callbacks.on_header_value = OnHeaderValue;
+      callbacks.on_headers_complete = OnHeadComplete;
+      callbacks.on_body = OnBody;
+      callbacks.on_message_complete = OnMessageComplete;
+      return callbacks;
+    }();
+    return settings;
+  }
+};
+
+MessageReader::MessageReader(MessageKind kind, const ReaderLimits& limits)
+    : m_impl(std::make_unique<Impl>(kind, limits)) {}
+MessageReader::~MessageReader() = default;
+
+std::size_t MessageReader::Read(std::string_view bytes) {
+  if (m_impl->complete || m_impl->fault.has_value() || bytes.empty()) {
+    return 0;
+  }
+  m_impl->started = true;
+  const std::size_t used =
+      http_parser_execute(&m_impl->parser, &Impl::Settings(), bytes.data(), bytes.size());
+  const http_errno error = HTTP_PARSER_ERRNO(&m_impl->parser);
+  if (!m_impl->head_complete) {
+    m_impl->head_bytes += used;
+    if (m_impl->head_bytes > m_impl->limits.max_head_bytes && !m_impl->fault.has_value()) {
+      m_impl->fault = ReadFault::kHeadTooLarge;
+    }
+  }
+  if (error == HPE_HEADER_OVERFLOW) {
+    m_impl->fault = ReadFault::kHeadTooLarge;
+  } else if (error != HPE_OK && error != HPE_PAUSED && !m_impl->fault.has_value()) {
+    m_impl->fault = ReadFault::kMalformed;
+  }
+  if (m_impl->fault.has_value()) {
+    m_impl->complete = false;
+  }
+  return used;
+}
+
+void MessageReader::ReadEnd() {
+  if (m_impl->complete || m_impl->fault.has_value()) {
+    return;
+  }
+  if (m_impl->started) {
+    http_parser_execute(&m_impl->parser, &Impl::Settings(), nullptr, 0);
+  }
+  if (!m_impl->complete) {
+    m_impl->fault = ReadFault::kCutShort;
+  }
+  m_impl->keeps_connection = false;
+}
+
+void MessageReader::Restart(bool is_response_to_head) {
+  m_impl->is_response_to_head = is_response_to_head;
+  m_impl->Restart();
+}
+
+void MessageReader::SetLimits(const ReaderLimits& limits) { m_impl->limits = limits; }
+bool MessageReader::IsStarted() const noexcept { return m_impl->started; }
+bool MessageReader::IsHeadComplete() const noexcept { return m_impl->head_complete; }
+bool MessageReader::IsComplete() const noexcept { return m_impl->complete; }
+std::optional<ReadFault> MessageReader::Fault() const noexcept { return m_impl->fault; }
+bool MessageReader::KeepsConnection() const noexcept { return m_impl->keeps_connection; }
+HttpRequest& MessageReader::Request() noexcept { return m_impl->request; }
+HttpResponse& MessageReader::Response() noexcept { return m_impl->response; }
+
+}  // namespace qh::http
--- /dev/null
+++ b/libs/net/src/tcp_connection.cc
@@ -0,0 +1,244 @@
+#include "quetzalhinge/net/tcp_connection.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <uv.h>
+
+#include <array>
+#include <utility>
+
+namespace qh::net {
+namespace {
+
+/** Bytes read at once; the observer consumes them before the next read. */
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+/** Idle seconds before keep-alive probes start, and seconds between two of them. */
+constexpr int kKeepAliveSeconds = 1;
+
+/** Unanswered probes after which the peer counts as silent. */
+constexpr int kKeepAliveProbes = 2;
+
+/** Milliseconds that written bytes may stay unacknowledged. */
+constexpr int kUnacknowledgedMillis = 3000;
+
+void SetOption(int descriptor, int level, int option, int value) {
+  // A kernel without the option leaves detection to the timeouts of the calls.
+  (void)setsockopt(descriptor, level, option, &value, sizeof(value));
+}
+
+std::array<char, kReadBytes>& ReadBuffer() {
+  static thread_local std::array<char, kReadBytes> buffer;
+  return buffer;
+}
+
+}  // namespace
+
+struct TcpConnection::Impl {
+  uv_tcp_t handle{};
+  uv_connect_t connect{};
+  uv_shutdown_t shutdown{};
+  TcpObserver* observer = nullptr;
+  IpEndpoint peer;
+  std::string unsent_before_connect;
+  std::size_t queued_bytes = 0;
+  bool connected = false;
+  bool open = true;
+  bool finish_writing = false;
+  bool reading = true;
+
+  struct WriteRequest {
+    uv_write_t request{};
+    std::string bytes;
+  };
+
+  uv_stream_t* Stream() { return reinterpret_cast<uv_stream_t*>(&handle); }
+
+  void WatchForSilence() {
+    uv_tcp_nodelay(&handle, 1);
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle), &descriptor) != 0) {
+      return;
+    }
+    SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveSeconds);
+    SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveSeconds);
+    SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+    SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMillis);
+  }
+
+  void StartReading() { uv_read_start(Stream(), OnAllocate, OnRead); }
+
+  void End(TcpEnd end, const char* step, int status) {
+    if (!open) {
+      return;
+    }
+    open = false;
+    uv_read_stop(Stream());
+    if (observer != nullptr) {
+      observer->OnEnd(end, Error{ErrorCode::kUnavailable, step, ToString(peer),
+                                 status == UV_EOF ? "closed by peer" : uv_strerror(status)});
+    }
+  }
+
+  void SendNow(std::string bytes) {
+    uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+    const int taken = queued_bytes == 0 ? uv_try_write(Stream(), &buffer, 1) : 0;
+    if (taken == static_cast<int>(bytes.size())) {
+      return;
+    }
+    if (taken > 0) {
+      bytes.erase(0, static_cast<std::size_t>(taken));
+    }
+    auto* write = new WriteRequest;
+    write->bytes = std::move(bytes);
+    write->request.data = write;
+    queued_bytes += write->bytes.size();
+    buffer = uv_buf_init(write->bytes.data(), static_cast<unsigned>(write->bytes.size()));
+    const int status = uv_write(&write->request, Stream(), &buffer, 1, OnWritten);
+    if (status != 0) {
+      queued_bytes -= write->bytes.size();
+      delete write;
+    }
+  }
+
+  void FinishNow() {
+    uv_shutdown(&shutdown, Stream(), [](uv_shutdown_t*, int) {});
+  }
+
+  static void OnConnected(uv_connect_t* request, int status) {
+    auto* impl = static_cast<Impl*>(request->data);
+    if (impl->observer == nullptr) {
+      return;
+    }
+    if (status != 0) {
+      impl->End(TcpEnd::kNotConnected, "connect", status);
+      return;
+    }
+    impl->connected = true;
+    impl->WatchForSilence();
+    if (!impl->unsent_before_connect.empty()) {
+      impl->SendNow(std::exchange(impl->unsent_before_connect, std::string()));
+    }
+    if (impl->finish_writing) {
+      impl->FinishNow();
+    }
+    if (impl->reading) {
+      impl->StartReading();
+    }
+    impl->observer->OnConnected();
+  }
+
+  static void OnAllocate(uv_handle_t* /*handle*/, std::size_t /*suggested*/, uv_buf_t* buffer) {
+    *buffer = uv_buf_init(ReadBuffer().data(), kReadBytes);
+  }
+
+  static void OnRead(uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) {
+    auto* impl = static_cast<Impl*>(stream->data);
+    if (size > 0 && impl->observer != nullptr) {
+      impl->observer->OnBytes(std::string_view(buffer->base, static_cast<std::size_t>(size)));
+    } else if (size < 0) {
+      impl->End(size == UV_EOF ? TcpEnd::kClosedByPeer : TcpEnd::kBroken, "read",
+                static_cast<int>(size));
+    }
+  }
+
+  static void OnWritten(uv_write_t* request, int status) {
+    std::unique_ptr<WriteRequest> write(static_cast<WriteRequest*>(request->data));
+    auto* impl = static_cast<Impl*>(request->handle->data);
+    impl->queued_bytes -= write->bytes.size();
+    if (impl->observer == nullptr) {
+      return;
+    }
+    if (status != 0) {
+      impl->End(TcpEnd::kBroken, "write", status);
+    } else if (impl->queued_bytes == 0) {
+      impl->observer->OnAllWritten();
+    }
+  }
+};
+
+TcpConnection::TcpConnection(EventLoop& loop, const IpEndpoint& peer, TcpObserver& observer)
+    : m_impl(new Impl) {
+  m_impl->observer = &observer;
+  m_impl->peer = peer;
+  uv_tcp_init(loop.Handle(), &m_impl->handle);
+  m_impl->handle.data = m_impl;
+  m_impl->connect.data = m_impl;
+  const sockaddr_in address = ToSockaddr(peer);
+  const int status = uv_tcp_connect(&m_impl->connect, &m_impl->handle,
+                                    reinterpret_cast<const sockaddr*>(&address), Impl::OnConnected);
+  if (status != 0) {
+    // Reported in a later round, because the caller has not stored the connection yet. The handle
+    // stays open until this object is destroyed.
+    m_impl->open = false;
+  }
+}
+
+TcpConnection::TcpConnection(EventLoop& loop, uv_stream_s* listener, TcpObserver& observer)
+    : m_impl(new Impl) {
+  m_impl->observer = &observer;
+  uv_tcp_init(loop.Handle(), &m_impl->handle);
+  m_impl->handle.data = m_impl;
+  if (uv_accept(listener, m_impl->Stream()) != 0) {
+    m_impl->open = false;
+    return;
+  }
+  m_impl->connected = true;
+  sockaddr_in address{};
+  int size = sizeof(address);
+  uv_tcp_getpeername(&m_impl->handle, reinterpret_cast<sockaddr*>(&address), &size);
+  m_impl->peer = FromSockaddr(address);
+  m_impl->WatchForSilence();
+  m_impl->StartReading();
+}
+
+TcpConnection::~TcpConnection() {
+  m_impl->observer = nullptr;
+  m_impl->open = false;
+  uv_close(reinterpret_cast<uv_handle_t*>(&m_impl->handle),
+           [](uv_handle_t* handle) { delete static_cast<Impl*>(handle->data); });
+}
+
+void TcpConnection::Write(std::string bytes) {
+  if (!m_impl->connected) {
+    m_impl->unsent_before_connect += bytes;
+    return;
+  }
+  m_impl->SendNow(std::move(bytes));
+}
+
+void TcpConnection::FinishWriting() {
+  if (m_impl->finish_writing) {
+    return;
+  }
+  m_impl->finish_writing = true;
+  if (m_impl->connected) {
+    m_impl->FinishNow();
+  }
+}
+
+void TcpConnection::SetReading(bool reading) {
+  if (reading == m_impl->reading || !m_impl->open) {
+    return;
+  }
+  m_impl->reading = reading;
+  if (!m_impl->connected) {
+    return;
+  }
+  if (reading) {
+    m_impl->StartReading();
+  } else {
+    uv_read_stop(m_impl->Stream());
+  }
+}
+
+bool TcpConnection::IsOpen() const noexcept { return m_impl->open; }
+
+std::size_t TcpConnection::QueuedBytes() const noexcept {
+  return m_impl->queued_bytes + m_impl->unsent_before_connect.size();
+}
+
+const IpEndpoint& TcpConnection::Peer() const noexcept { return m_impl->peer; }
+
+}  // namespace qh::net
--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -5,7 +5,7 @@
 
 packages=(
   g++ cmake ninja-build pkg-config clang-format clang-tidy clang-tools python3 curl
-  libuv1-dev libh2o-dev libcapnp-dev capnproto libpopt-dev libboost-log-dev
+  libuv1-dev libh2o-dev libhttp-parser-dev libcapnp-dev capnproto libpopt-dev libboost-log-dev
   librapidcheck-dev catch2 libinih-dev libxxhash-dev nlohmann-json3-dev libssl-dev zlib1g-dev
 )
 
