--- /dev/null
+++ b/apps/qh-gateway/src/main.cc
@@ -0,0 +1,62 @@
+#include <cstdio>
+
+#include "quetzalhinge/gateway/gateway_process.h"
+#include "quetzalhinge/logging/log.h"
+#include "quetzalhinge/net/signal_watcher.h"
+#include "quetzalhinge/platform_adapter/platform_binding.h"
+#include "quetzalhinge/platform_adapter/store_client.h"
+#include "quetzalhinge/platform_adapter/wire_names.h"
+#include "quetzalhinge/settings/command_line.h"
+
+namespace {
+
+using qh::settings::ExitCode;
+
+const qh::settings::ProgramSpec kProgram{
+    "qh-gateway", "Serves callers on an entry VM of the shared platform, in one process.", "", {}};
+
+qh::gateway::GatewaySettingsResult ReadSettings(const std::string& file) {
+  return qh::gateway::ParseGatewaySettings(qh::settings::ReadIniFile(file));
+}
+
+int Run(const std::string& file, const qh::gateway::GatewaySettings& settings) {
+  qh::logging::StartLogging("qh-gateway", qh::logging::LogOutput::kStandardOutputNonBlocking);
+  qh::net::EventLoop loop;
+  const qh::platform_adapter::PlatformDecoder decoder;
+  const qh::platform_adapter::PlatformFrontDoor front_door;
+  qh::platform_adapter::StoreClient store(loop, settings.store);
+  qh::gateway::GatewayProcess process(loop, settings,
+                                      {decoder, front_door, store,
+                                       qh::platform_adapter::PlatformLayout(),
+                                       qh::platform_adapter::WireHeaders(),
+                                       [&file] { return ReadSettings(file); }});
+  const qh::Result<qh::Success> started = process.Start();
+  if (!qh::IsOk(started)) {
+    qh::logging::LogError("process", qh::ErrorOf(started));
+    return static_cast<int>(ExitCode::kRuntimeFailure);
+  }
+  qh::net::SignalWatcher signals(loop, [&](int count) { process.OnStopSignal(count); });
+  signals.OnReloadSignal([&] { process.OnReloadSignal(); });
+  loop.Run();
+  return static_cast<int>(process.Exit());
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto command_line =
+      qh::settings::ParseCommandLineOrExit(kProgram, argc, const_cast<const char**>(argv));
+  if (command_line.settings_file.empty() || !command_line.arguments.empty()) {
+    std::fprintf(stderr, "qh-gateway: --settings FILE is required, and no other argument\n");
+    return static_cast<int>(ExitCode::kWrongCommandLine);
+  }
+  const auto result = ReadSettings(command_line.settings_file);
+  for (const auto& problem : result.problems) {
+    std::fprintf(stderr, "%s\n", ToString(problem).c_str());
+  }
+  if (!result.problems.empty()) {
+    return static_cast<int>(ExitCode::kWrongSettings);
+  }
+  return command_line.check_only ? static_cast<int>(ExitCode::kSuccess)
+                                 : Run(command_line.settings_file, result.settings);
+}
--- /dev/null
+++ b/libs/dispatch/src/worker_registry.cc
@@ -0,0 +1,246 @@
+#include "quetzalhinge/dispatch/worker_registry.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace qh::dispatch {
+namespace {
+
+/** Time in which the weight of failures halves. */
+constexpr std::chrono::milliseconds kFailureHalfLife{2000};
+
+/** A good response takes away this part of the weight. */
+constexpr double kSuccessDecay = 0.7;
+
+/** Most failures that are remembered at once, so that a worker that is well again is soon used. */
+constexpr double kMaxFailureWeight = 8;
+
+}  // namespace
+
+struct WorkerRegistry::Impl {
+  struct Entry {
+    WorkerStatus status;
+    /** When the worker is removed, if its entry is gone. */
+    std::optional<TimePoint> remove_at;
+  };
+
+  std::map<std::string, Entry, std::less<>> workers;
+  /** Starts of workers that were removed, so that late entries of them are recognised. */
+  std::map<std::string, WorkerRecord, std::less<>> removed;
+  TimePoint put_off_until{};
+
+  static bool IsOlder(const WorkerRecord& record, const WorkerRecord& known) {
+    if (record.started_unix_ms != known.started_unix_ms) {
+      return record.started_unix_ms != 0 && record.started_unix_ms < known.started_unix_ms;
+    }
+    return record.sequence < known.sequence;
+  }
+
+  static bool IsRestart(const WorkerRecord& record, const WorkerRecord& known) {
+    return record.started_unix_ms != known.started_unix_ms || record.address != known.address ||
+           record.service != known.service;
+  }
+
+  void Take(const WorkerRecord& record, TimePoint now, std::vector<WorkerEvent>& events) {
+    const auto gone = removed.find(record.id);
+    if (gone != removed.end() && IsOlder(record, gone->second)) {
+      return;
+    }
+    const auto found = workers.find(record.id);
+    if (found == workers.end()) {
+      Entry entry;
+      entry.status.record = record;
+      entry.status.cold_until = now + record.cold_remaining;
+      workers.emplace(record.id, std::move(entry));
+      removed.erase(record.id);
+      events.push_back({WorkerChange::kJoined, record});
+      return;
+    }
+    Update(found->second, record, now, events);
+  }
+
+  static void Update(Entry& entry, const WorkerRecord& record, TimePoint now,
+                     std::vector<WorkerEvent>& events) {
+    const WorkerRecord known = entry.status.record;
+    if (IsOlder(record, known)) {
+      return;
+    }
+    const bool was_put_off = entry.remove_at.has_value();
+    entry.remove_at.reset();
+    if (IsRestart(record, known)) {
+      entry.status = WorkerStatus{};
+      entry.status.record = record;
+      entry.status.cold_until = now + record.cold_remaining;
+      events.push_back({WorkerChange::kRestarted, record});
+      return;
+    }
+    entry.status.record = record;
+    if (record.cold_remaining.count() > 0) {
+      entry.status.cold_until = now + record.cold_remaining;
+    }
+    if (record.state == WorkerState::kLeaving && known.state != WorkerState::kLeaving) {
+      events.push_back({WorkerChange::kLeaving, record});
+    } else if (was_put_off ||
+               (record.state == WorkerState::kReady && known.state == WorkerState::kLeaving)) {
+      events.push_back({WorkerChange::kBack, record});
+    }
+  }
+
+  void Remove(const std::string& id, TimePoint now, std::vector<WorkerEvent>& events) {
+    const auto found = workers.find(id);
+    if (found == workers.end()) {
+      return;
+    }
+    Entry& entry = found->second;
+    // A worker that said that it leaves has not lapsed by accident.
+    if (now < put_off_until && entry.status.record.state == WorkerState::kReady) {
+      if (!entry.remove_at.has_value()) {
+        entry.remove_at = put_off_until;
+        events.push_back({WorkerChange::kRemovalPutOff, entry.status.record});
+      }
+      return;
+    }
+    events.push_back({WorkerChange::kRemoved, entry.status.record});
+    removed[id] = entry.status.record;
+    workers.erase(found);
+  }
+};
+
+WorkerRegistry::WorkerRegistry() : m_impl(std::make_unique<Impl>()) {}
+WorkerRegistry::~WorkerRegistry() = default;
+
+std::vector<WorkerEvent> WorkerRegistry::ApplyAll(const std::vector<WorkerEntry>& entries,
+                                                  TimePoint now) {
+  std::vector<WorkerEvent> events = Apply(entries, now);
+  std::set<std::string_view> listed;
+  for (const WorkerEntry& entry : entries) {
+    listed.insert(entry.id);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, entry] : m_impl->workers) {
+    if (listed.count(id) == 0) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    m_impl->Remove(id, now, events);
+  }
+  return events;
+}
+
+std::vector<WorkerEvent> WorkerRegistry::Apply(const std::vector<WorkerEntry>& entries,
+                                               TimePoint now) {
+  std::vector<WorkerEvent> events;
+  for (const WorkerEntry& entry : entries) {
+    if (entry.record.has_value()) {
+      m_impl->Take(*entry.record, now, events);
+    } else {
+      m_impl->Remove(entry.id, now, events);
+    }
+  }
+  return events;
+}
+
+void WorkerRegistry::PutOffRemovals(TimePoint until) noexcept {
+  m_impl->put_off_until = std::max(m_impl->put_off_until, until);
+}
+
+std::vector<WorkerEvent> WorkerRegistry::Expire(TimePoint now) {
+  std::vector<std::string> due;
+  for (const auto& [id, entry] : m_impl->workers) {
+    if (entry.remove_at.has_value() && *entry.remove_at <= now) {
+      due.push_back(id);
+    }
+  }
+  std::vector<WorkerEvent> events;
+  for (const std::string& id : due) {
+    m_impl->Remove(id, now, events);
+  }
+  return events;
+}
+
+WorkerStatus* WorkerRegistry::Find(std::string_view id) {
+  const auto found = m_impl->workers.find(id);
+  return found == m_impl->workers.end() ? nullptr : &found->second.status;
+}
+
+std::vector<WorkerStatus*> WorkerRegistry::Usable(std::string_view service) {
+  std::vector<WorkerStatus*> usable;
+  for (auto& [id, entry] : m_impl->workers) {
+    if (entry.status.record.service == service &&
+        entry.status.record.state == WorkerState::kReady) {
+      usable.push_back(&entry.status);
+    }
+  }
+  return usable;
+}
+
+std::vector<const WorkerStatus*> WorkerRegistry::All() const {
+  std::vector<const WorkerStatus*> all;
+  for (const auto& [id, entry] : m_impl->workers) {
+    all.push_back(&entry.status);
+  }
+  return all;
+}
+
+void WorkerRegistry::OnReport(std::string_view id, const LoadReport& report, TimePoint now) {
+  WorkerStatus* worker = Find(id);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->report = report;
+  worker->reported_at = now;
+  worker->sent_since_report = 0;
+  worker->ended_since_report = 0;
+}
+
+void WorkerRegistry::OnSent(std::string_view id) {
+  WorkerStatus* worker = Find(id);
+  if (worker != nullptr) {
+    ++worker->in_progress;
+    ++worker->sent_since_report;
+  }
+}
+
+void WorkerRegistry::OnEnded(std::string_view id) {
+  WorkerStatus* worker = Find(id);
+  if (worker != nullptr && worker->in_progress > 0) {
+    --worker->in_progress;
+    ++worker->ended_since_report;
+  }
+}
+
+void WorkerRegistry::OnFailure(std::string_view id, TimePoint now) {
+  WorkerStatus* worker = Find(id);
+  if (worker != nullptr) {
+    worker->failure_weight = std::min(kMaxFailureWeight, FailureWeight(*worker, now) + 1);
+    worker->failed_at = now;
+  }
+}
+
+void WorkerRegistry::OnSuccess(std::string_view id, TimePoint now) {
+  WorkerStatus* worker = Find(id);
+  if (worker != nullptr && worker->failure_weight > 0) {
+    worker->failure_weight = FailureWeight(*worker, now) * (1 - kSuccessDecay);
+    worker->failed_at = now;
+  }
+}
+
+double FailureWeight(const WorkerStatus& worker, TimePoint now) noexcept {
+  if (worker.failure_weight <= 0) {
+    return 0;
+  }
+  const double halvings =
+      std::chrono::duration<double>(now - worker.failed_at) / kFailureHalfLife;
+  return worker.failure_weight * std::exp2(-halvings);
+}
+
+int Occupancy(const WorkerStatus& worker) noexcept {
+  const int reported = worker.report.running + worker.report.waiting;
+  return std::max(worker.in_progress,
+                  reported + worker.sent_since_report - worker.ended_since_report);
+}
+
+}  // namespace qh::dispatch
--- /dev/null
+++ b/libs/dispatch/test/test_worker_picker.cc
@@ -0,0 +1,115 @@
+#include <catch2/catch.hpp>
+
+#include "quetzalhinge/dispatch/worker_picker.h"
+
+using namespace qh;
+using namespace qh::dispatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart = TimePoint(1h);
+
+WorkerRecord MakeWorker(const std::string& id, const std::string& zone) {
+  WorkerRecord record;
+  record.id = id;
+  record.service = "katalog";
+  record.address = {"10.0.0.1", 8080};
+  record.zone = zone;
+  record.slots = 6;
+  record.sequence = 1;
+  return record;
+}
+
+struct Fixture {
+  WorkerRegistry registry;
+  WorkerPicker picker;
+  RandomGenerator random{20261204};
+  PickRequest request{"katalog", "here", 200ms, {}};
+
+  Fixture() {
+    for (const char* id : {"near-1", "near-2"}) {
+      registry.Apply({{id, MakeWorker(id, "here")}}, kStart);
+    }
+    for (const char* id : {"far-1", "far-2"}) {
+      registry.Apply({{id, MakeWorker(id, "there")}}, kStart);
+    }
+  }
+
+  Pick Decide(const std::set<std::string>& asked = {}, bool may_probe = true,
+              TimePoint now = kStart) {
+    return picker.Decide(registry, request, asked, may_probe, now, random);
+  }
+};
+
+}  // namespace
+
+SCENARIO("A worker is picked by what it says now") {
+  Fixture fixture;
+
+  GIVEN("no report at all") {
+    THEN("workers are probed, those of the own zone first") {
+      const Pick pick = fixture.Decide();
+      REQUIRE(pick.step == PickStep::kProbe);
+      REQUIRE(pick.probes.size() == 3);
+      CHECK(pick.probes[0].substr(0, 4) == "near");
+      CHECK(pick.probes[1].substr(0, 4) == "near");
+    }
+    THEN("a worker is picked all the same when there is no time to probe") {
+      CHECK(fixture.Decide({}, false).step == PickStep::kSend);
+    }
+  }
+  GIVEN("a fresh report of a fast, free worker") {
+    fixture.registry.OnReport("far-1", {0, 0, 6, 1.0}, kStart);
+    THEN("the request goes there without a probe") {
+      const Pick pick = fixture.Decide();
+      CHECK(pick.step == PickStep::kSend);
+      CHECK(pick.worker == "far-1");
+    }
+    THEN("a few milliseconds later the report is no longer the present") {
+      CHECK(fixture.Decide({}, true, kStart + 50ms).step == PickStep::kProbe);
+    }
+    THEN("the own zone goes first if it is as good") {
+      fixture.registry.OnReport("near-1", {2, 0, 6, 1.0}, kStart);
+      CHECK(fixture.Decide().worker == "near-1");
+    }
+    THEN("a worker that was tried already is not picked again") {
+      fixture.request.excluded = {"far-1"};
+      CHECK(fixture.Decide().step == PickStep::kProbe);
+    }
+  }
+  GIVEN("a worker whose machine is slow now") {
+    fixture.registry.OnReport("near-1", {0, 0, 6, 7.0}, kStart);
+    fixture.registry.OnReport("near-2", {0, 0, 6, 7.0}, kStart);
+    THEN("the other zone is probed before the request is sent") {
+      const Pick pick = fixture.Decide({"near-1", "near-2"});
+      REQUIRE(pick.step == PickStep::kProbe);
+      CHECK(pick.probes.size() == 2);
+    }
+    THEN("it is used when all are as slow") {
+      fixture.registry.OnReport("far-1", {6, 3, 6, 7.0}, kStart);
+      fixture.registry.OnReport("far-2", {6, 3, 6, 7.0}, kStart);
+      const Pick pick = fixture.Decide({"near-1", "near-2", "far-1", "far-2"});
+      CHECK(pick.step == PickStep::kSend);
+      CHECK(pick.worker.substr(0, 4) == "near");
+    }
+  }
+  GIVEN("workers that are all full") {
+    for (const char* id : {"near-1", "near-2", "far-1", "far-2"}) {
+      fixture.registry.OnReport(id, {6, 2, 6, 1.0}, kStart);
+    }
+    THEN("the request is told so") {
+      CHECK(fixture.Decide({"near-1", "near-2", "far-1", "far-2"}).step == PickStep::kFull);
+    }
+  }
+  GIVEN("a worker that keeps failing although it calls itself well") {
+    fixture.registry.OnReport("near-1", {0, 0, 6, 1.0}, kStart);
+    fixture.registry.OnFailure("near-1", kStart);
+    fixture.registry.OnFailure("near-1", kStart);
+    THEN("others are looked for first") { CHECK(fixture.Decide().step == PickStep::kProbe); }
+  }
+  GIVEN("no worker of the service") {
+    fixture.request.service = "gudang";
+    THEN("there is nothing to send to") { CHECK(fixture.Decide().step == PickStep::kNone); }
+  }
+}
--- /dev/null
+++ b/libs/gateway/include/quetzalhinge/gateway/call_service.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "quetzalhinge/base/random_id.h"
+#include "quetzalhinge/dispatch/worker_picker.h"
+#include "quetzalhinge/dispatch/worker_registry.h"
+#include "quetzalhinge/gateway/call_headers.h"
+#include "quetzalhinge/gateway/crash_watch.h"
+#include "quetzalhinge/gateway/retry_budgets.h"
+#include "quetzalhinge/gateway/worker_links.h"
+#include "quetzalhinge/http/connection_server.h"
+#include "quetzalhinge/metrics/metrics_registry.h"
+#include "quetzalhinge/net/event_loop.h"
+#include "quetzalhinge/routes/route_table.h"
+
+namespace qh::gateway {
+
+/** What all calls of the process use. Outlives them. */
+struct CallContext {
+  /** Availability zone of this VM. */
+  std::string zone;
+  net::EventLoop& loop;
+  RandomGenerator& random;
+  metrics::MetricsRegistry& metrics;
+  const CallHeaders& headers;
+  routes::RouteTable& routes;
+  dispatch::WorkerRegistry& registry;
+  dispatch::WorkerPicker& picker;
+  WorkerLinks& links;
+  CrashWatch& crashes;
+  RetryBudgets& budgets;
+};
+
+/** Answers callers' requests: finds the route, and starts a CallTask for what may run. */
+class CallService {
+ public:
+  /** The context must outlive the service. */
+  explicit CallService(CallContext& context);
+  ~CallService();
+  CallService(const CallService&) = delete;
+  CallService& operator=(const CallService&) = delete;
+
+  /** Takes a request; it is answered sooner or later. */
+  void Handle(std::shared_ptr<http::ServerExchange> exchange);
+
+  /** From now on requests are refused; those in progress go on. */
+  void RefuseNew();
+
+ private:
+  CallContext& m_context;
+  bool m_refuse_new = false;
+};
+
+}  // namespace qh::gateway
--- /dev/null
+++ b/libs/gateway/include/quetzalhinge/gateway/table_follower.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "quetzalhinge/base/random_id.h"
+#include "quetzalhinge/net/event_loop.h"
+#include "quetzalhinge/store/table_store.h"
+
+namespace qh::gateway {
+
+/** Hears what a TableFollower reads. */
+class TableFollowerObserver {
+ public:
+  virtual ~TableFollowerObserver() = default;
+
+  /** Rows came. `is_whole`: all rows of the table; otherwise those that have changed. */
+  virtual void OnRows(const std::string& table, const store::TableRows& rows, bool is_whole) = 0;
+
+  /** The store cannot be read. Called once for each outage. */
+  virtual void OnStoreLost(const std::string& table, const Error& error) = 0;
+
+  /** The store can be read again after `outage`. Called before OnRows(). */
+  virtual void OnStoreBack(const std::string& table, Duration outage) = 0;
+};
+
+/** Keeps a copy of one table up to date: reads it, then waits for changes. */
+class TableFollower {
+ public:
+  /** All arguments must outlive the follower. */
+  TableFollower(net::EventLoop& loop, RandomGenerator& random, store::TableStore& store,
+                const std::string& table, TableFollowerObserver& observer);
+  ~TableFollower();
+  TableFollower(const TableFollower&) = delete;
+  TableFollower& operator=(const TableFollower&) = delete;
+
+  /** Starts to read. */
+  void Start();
+
+  /** Takes rows that came on another way, if they are newer. Returns whether they are. */
+  bool Offer(const store::TableRows& whole_table);
+
+  /** Returns the store version that the copy reflects; 0 if nothing was read. */
+  std::uint64_t Version() const noexcept;
+
+  /** Returns since when the store cannot be read; nothing while it can. */
+  std::optional<TimePoint> LostSince() const noexcept;
+
+ private:
+  struct Impl;
+  std::shared_ptr<Impl> m_impl;
+};
+
+}  // namespace qh::gateway
--- /dev/null
+++ b/libs/gateway/src/call_service.cc
@@ -0,0 +1,87 @@
+#include "quetzalhinge/gateway/call_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "call_task.h"
+#include "quetzalhinge/base/hash.h"
+#include "quetzalhinge/logging/log.h"
+#include "quetzalhinge/retries/deadline.h"
+
+namespace qh::gateway {
+namespace {
+
+/** When a caller may come back who was refused because this VM cannot serve it. */
+constexpr const char* kRetryAfterSeconds = "0.25";
+
+http::HttpResponse Refusal(int status, const CallHeaders& headers, const std::string& request_id) {
+  http::HttpResponse response;
+  response.status = status;
+  if (!request_id.empty()) {
+    response.headers.push_back({headers.request_id, request_id});
+  }
+  if (status == 503) {
+    response.headers.push_back({"retry-after", kRetryAfterSeconds});
+  }
+  return response;
+}
+
+std::string HeaderOrEmpty(const http::HttpHeaders& headers, const std::string& name) {
+  const auto value = http::FindHeader(headers, name);
+  return value.has_value() ? std::string(*value) : std::string();
+}
+
+}  // namespace
+
+CallService::CallService(CallContext& context) : m_context(context) {}
+CallService::~CallService() = default;
+
+void CallService::RefuseNew() { m_refuse_new = true; }
+
+void CallService::Handle(std::shared_ptr<http::ServerExchange> exchange) {
+  const http::HttpRequest& request = exchange->Request();
+  const CallHeaders& names = m_context.headers;
+  const std::string request_id = HeaderOrEmpty(request.headers, names.request_id);
+  const auto refuse = [&](int status, const char* reason) {
+    logging::LogDecision(
+        "call", "refused",
+        {{"request", request_id},
+         {"status", std::to_string(status)},
+         {"reason", reason},
+         {"configuration", std::to_string(m_context.routes.Configuration().version)}});
+    m_context.metrics.CounterOf("qh_calls_total", "status=\"" + std::to_string(status) + "\"")
+        .Add();
+    exchange->Respond(Refusal(status, names, request_id));
+  };
+  if (m_refuse_new) {
+    return refuse(503, "stopping");
+  }
+  if (!m_context.routes.HasConfiguration()) {
+    return refuse(503, "no configuration is known yet");
+  }
+  if (http::CountHeaders(request.headers, names.request_id) != 1 ||
+      http::CountHeaders(request.headers, "host") != 1) {
+    return refuse(400, "request id or host is missing, or stands there twice");
+  }
+  const std::string host = HeaderOrEmpty(request.headers, "host");
+  const routes::Route* route = m_context.routes.Find(host, http::PathOnly(request.path));
+  if (route == nullptr) {
+    return refuse(404, "no route");
+  }
+  CallTerms terms;
+  terms.route = *route;
+  terms.service = m_context.routes.NextService(*route);
+  terms.request_id = request_id;
+  terms.configuration_version = m_context.routes.Configuration().version;
+  terms.started_at = m_context.loop.Now();
+  terms.deadline = retries::DeadlineOf(
+      terms.started_at, route->timeout,
+      retries::ParseTimeLeft(HeaderOrEmpty(request.headers, names.time_left_ms)));
+  terms.fingerprint = HashParts({host, request.method, request.path, request.body});
+  if (m_context.crashes.QuarantineLeft(terms.fingerprint).has_value()) {
+    return refuse(503, "the request has crashed workers");
+  }
+  std::make_shared<CallTask>(m_context, std::move(exchange), std::move(terms))->Start();
+}
+
+}  // namespace qh::gateway
--- /dev/null
+++ b/libs/gateway/src/gateway_process.cc
@@ -0,0 +1,421 @@
+#include "quetzalhinge/gateway/gateway_process.h"
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+#include <utility>
+
+#include "peer_fetch.h"
+#include "quetzalhinge/base/hash.h"
+#include "quetzalhinge/gateway/call_service.h"
+#include "quetzalhinge/gateway/store_copy.h"
+#include "quetzalhinge/gossip/gossip_task.h"
+#include "quetzalhinge/logging/log.h"
+#include "quetzalhinge/net/timer.h"
+
+namespace qh::gateway {
+namespace {
+
+using membership::MemberRecord;
+using membership::MemberState;
+using std::chrono::milliseconds;
+
+/** How often due work is looked for: removals, fetches from peers, the end of a planned stop. */
+constexpr milliseconds kTickInterval{200};
+
+/** How long the store has to be lost before peers are asked for their copy. */
+constexpr milliseconds kAskPeersAfter{300};
+
+/**
+ * Part of the grace of a planned stop during which new requests are still taken: callers keep
+ * addresses for some time after this VM has left the answers.
+ */
+constexpr double kAcceptPartOfGrace = 0.4;
+
+/** Part of the grace after which the process ends with whatever is in progress. */
+constexpr double kEndPartOfGrace = 0.95;
+
+/** How long address answers may be kept, unless the settings allow less. */
+constexpr milliseconds kAddressTtl{2000};
+
+/** Most addresses in an answer; callers use no more. */
+constexpr std::size_t kMaxAddresses = 64;
+
+/** Zones with fewer live VMs than this are answered with all zones' addresses. */
+constexpr std::size_t kMinAddressesOfZone = 2;
+
+/** Table in which VMs leave their gossip address for those that start later. */
+constexpr const char* kVmTable = "vms";
+
+/** How long until a failed registration is tried again. */
+constexpr milliseconds kRegisterRetry{700};
+
+/** Wall clocks of VMs may jump by some seconds; gossip goes on. */
+constexpr milliseconds kMaxClockDifference{600000};
+
+/** Bytes of a regular gossip message; a smaller one costs less between zones. */
+constexpr std::size_t kGossipDatagramBytes = 600;
+
+/** Other VMs' questions and the metrics: small, and over at once. */
+http::ConnectionLimits InternalLimits() {
+  http::ConnectionLimits limits;
+  limits.message.max_body_bytes = 64 * 1024;
+  return limits;
+}
+
+gossip::GossipTaskOptions GossipOptionsOf(const GatewaySettings& settings) {
+  gossip::GossipTaskOptions options;
+  options.self.vm = settings.name;
+  options.self.zone = settings.zone;
+  // There are no slot numbers here; heartbeats tell members apart by this and the generation.
+  options.self.slot = static_cast<std::uint16_t>(HashBytes(settings.name));
+  options.self.generation = static_cast<std::uint64_t>(UnixNow());
+  options.self.endpoints.calls = settings.callers;
+  options.self.endpoints.control_rpc = settings.internal;
+  options.self.endpoints.gossip = settings.internal;
+  options.gossip.interval = settings.gossip_interval;
+  options.gossip.max_datagram_bytes = kGossipDatagramBytes;
+  options.authenticator.max_age = kMaxClockDifference;
+  options.deployment_key = settings.deployment_key;
+  return options;
+}
+
+}  // namespace
+
+struct GatewayProcess::Impl : gossip::GossipObserver, StoreCopyObserver {
+  net::EventLoop& loop;
+  GatewaySettings settings;
+  GatewayEnvironment environment;
+  RandomGenerator random = MakeSeededGenerator();
+  metrics::MetricsRegistry metrics;
+  routes::RouteTable routes;
+  dispatch::WorkerRegistry registry;
+  dispatch::WorkerPicker picker;
+  WorkerLinks links;
+  gossip::GossipTask gossip;
+  CrashWatch crashes;
+  RetryBudgets budgets;
+  CallContext context;
+  CallService calls;
+  StoreCopy copy;
+  PeerFetch peer_fetch;
+  http::ConnectionServer call_server;
+  http::ConnectionServer ready_server;
+  http::ConnectionServer address_server;
+  http::ConnectionServer internal_server;
+  net::Timer tick;
+  net::Timer register_timer;
+  std::optional<TimePoint> stopping_since;
+  bool accepting = true;
+  settings::ExitCode exit = settings::ExitCode::kSuccess;
+
+  Impl(net::EventLoop& event_loop, const GatewaySettings& gateway_settings,
+       const GatewayEnvironment& gateway_environment)
+      : loop(event_loop),
+        settings(gateway_settings),
+        environment(gateway_environment),
+        links(loop, metrics, environment.headers, environment.decoder, registry, routes),
+        gossip(loop, random, metrics, GossipOptionsOf(settings), *this),
+        crashes(loop, links, [this](const membership::Notice& notice) { gossip.Post(notice); }),
+        budgets({settings.retry_share, settings.retry_slack}),
+        context{settings.zone, loop,  random,  metrics, environment.headers, routes, registry,
+                picker,        links, crashes, budgets},
+        calls(context),
+        copy(loop, random, metrics, environment.store, environment.layout, environment.decoder,
+             routes, registry, settings.worker_drain, *this),
+        peer_fetch(loop, [this](const IpEndpoint& peer,
+                                const std::string& body) { TakePeerCopy(peer, body); }),
+        call_server(loop, {}, [this](auto exchange) { calls.Handle(std::move(exchange)); }),
+        ready_server(loop, InternalLimits(), [this](auto exchange) { AnswerReady(*exchange); }),
+        address_server(loop, InternalLimits(),
+                       [this](auto exchange) { AnswerAddresses(*exchange); }),
+        internal_server(loop, InternalLimits(),
+                        [this](auto exchange) { AnswerInternal(*exchange); }),
+        tick(loop, [this] { Tick(); }),
+        register_timer(loop, [this] { Register(); }) {}
+
+  Result<Success> Start() {
+    struct Listening {
+      http::ConnectionServer& server;
+      const IpEndpoint& endpoint;
+    };
+    for (const Listening& listening :
+         {Listening{call_server, settings.callers}, Listening{ready_server, settings.ready},
+          Listening{address_server, settings.addresses},
+          Listening{internal_server, settings.internal}}) {
+      Result<Success> started = listening.server.Listen(listening.endpoint);
+      if (!IsOk(started)) {
+        return started;
+      }
+    }
+    Result<Success> started = gossip.Start();
+    if (IsOk(started)) {
+      copy.Start();
+      Register();
+      tick.StartRepeating(kTickInterval);
+      logging::LogChange("process", "started",
+                         {{"vm", settings.name},
+                          {"zone", settings.zone},
+                          {"callers", ToString(settings.callers)},
+                          {"store", ToString(settings.store)}});
+    }
+    return started;
+  }
+
+  // Registration
+
+  /** Leaves the own gossip address in the store, then reads those of the others. */
+  void Register() {
+    environment.store.WriteRow(kVmTable, settings.name, ToString(settings.internal),
+                               [this](const Result<Success>& result) {
+                                 if (!IsOk(result)) {
+                                   logging::LogError("register", ErrorOf(result));
+                                   register_timer.StartOnce(kRegisterRetry);
+                                   return;
+                                 }
+                                 ReadPeers();
+                               });
+  }
+
+  void ReadPeers() {
+    environment.store.ReadTable(kVmTable, [this](const Result<store::TableRows>& result) {
+      if (!IsOk(result)) {
+        logging::LogError("register", ErrorOf(result));
+        register_timer.StartOnce(kRegisterRetry);
+        return;
+      }
+      std::vector<IpEndpoint> peers;
+      for (const store::StoredRow& row : ValueOf(result).rows) {
+        const auto endpoint = ParseIpEndpoint(row.value);
+        if (endpoint.has_value() && *endpoint != settings.internal) {
+          peers.push_back(*endpoint);
+        }
+      }
+      logging::LogChange("register", "peers read", {{"count", std::to_string(peers.size())}});
+      gossip.SetListedPeers(peers);
+    });
+  }
+
+  // Questions
+
+  bool IsReady() const { return routes.HasConfiguration() && !stopping_since.has_value(); }
+
+  void AnswerReady(http::ServerExchange& exchange) const {
+    const bool is_path =
+        http::PathOnly(exchange.Request().path) == environment.front_door.ReadyPath();
+    exchange.Respond({!is_path ? 404 : IsReady() ? 200 : 503, {}, "", false});
+  }
+
+  /** Live VMs of the caller's zone; of all zones where that has too few. */
+  std::vector<IpEndpoint> AddressesFor(const std::string& zone) const {
+    std::vector<IpEndpoint> own_zone;
+    std::vector<IpEndpoint> all;
+    for (const MemberRecord& member : gossip.Members().ServingMembers(loop.Now())) {
+      if (member.state != MemberState::kLive) {
+        continue;
+      }
+      all.push_back(member.endpoints.calls);
+      if (member.zone == zone) {
+        own_zone.push_back(member.endpoints.calls);
+      }
+    }
+    std::vector<IpEndpoint> chosen =
+        own_zone.size() >= kMinAddressesOfZone ? std::move(own_zone) : std::move(all);
+    if (chosen.size() > kMaxAddresses) {
+      chosen.resize(kMaxAddresses);
+    }
+    return chosen;
+  }
+
+  void AnswerAddresses(http::ServerExchange& exchange) const {
+    const std::string& path = exchange.Request().path;
+    if (http::PathOnly(path) != environment.front_door.AddressPath()) {
+      exchange.Respond({404, {}, "", false});
+      return;
+    }
+    const std::vector<IpEndpoint> addresses = AddressesFor(environment.front_door.CallerZone(path));
+    if (addresses.empty()) {
+      exchange.Respond({503, {{"retry-after", "0.2"}}, "", false});
+      return;
+    }
+    const milliseconds ttl = std::min(kAddressTtl, settings.max_address_ttl);
+    exchange.Respond({200,
+                      {{"content-type", "application/json"}},
+                      environment.front_door.FormatAddresses(addresses, ttl),
+                      false});
+  }
+
+  void AnswerInternal(http::ServerExchange& exchange) {
+    const std::string& path = exchange.Request().path;
+    if (http::PathOnly(path) == "/metrics") {
+      UpdateGauges();
+      exchange.Respond({200, {{"content-type", "text/plain"}}, metrics.PrometheusText(), false});
+    } else if (http::PathOnly(path) == kPeerCopyPath) {
+      const std::string text = http::QueryParameter(path, "after").value_or("0");
+      std::uint64_t after = 0;
+      std::from_chars(text.data(), text.data() + text.size(), after);
+      exchange.Respond({200, {}, copy.ForPeer(after), false});
+    } else {
+      exchange.Respond({404, {}, "", false});
+    }
+  }
+
+  void UpdateGauges() {
+    metrics.GaugeOf("qh_calls_in_progress").Set(static_cast<double>(call_server.InProgress()));
+    metrics.GaugeOf("qh_caller_connections")
+        .Set(static_cast<double>(call_server.OpenConnections()));
+    metrics.GaugeOf("qh_configuration_version")
+        .Set(static_cast<double>(routes.Configuration().version));
+    metrics.GaugeOf("qh_workers").Set(static_cast<double>(registry.All().size()));
+    metrics.GaugeOf("qh_store_lost").Set(copy.LostSince().has_value() ? 1 : 0);
+    const http::RefusalCounts& refused = call_server.Refused();
+    metrics.GaugeOf("qh_refused_malformed").Set(static_cast<double>(refused.malformed));
+    metrics.GaugeOf("qh_refused_head_too_large").Set(static_cast<double>(refused.head_too_large));
+    metrics.GaugeOf("qh_refused_body_too_large").Set(static_cast<double>(refused.body_too_large));
+    metrics.GaugeOf("qh_refused_timed_out").Set(static_cast<double>(refused.timed_out));
+  }
+
+  // StoreCopyObserver
+
+  void OnConfigurationApplied() override {
+    const routes::CallerLimits& limits = routes.Configuration().limits;
+    http::ConnectionLimits connection_limits;
+    connection_limits.message = {limits.max_header_bytes, limits.max_body_bytes};
+    connection_limits.head_timeout = limits.header_timeout;
+    connection_limits.idle_timeout = limits.idle_timeout;
+    call_server.SetLimits(connection_limits);
+    gossip.SetOwnRevision(routes.Configuration().version);
+    if (IsReady()) {
+      gossip.SetOwnState(MemberState::kLive, "");
+    }
+  }
+
+  void OnWorkerEvent(const dispatch::WorkerEvent& event) override {
+    if (event.change == dispatch::WorkerChange::kRestarted ||
+        event.change == dispatch::WorkerChange::kRemoved) {
+      links.Drop(event.record.id);
+    }
+  }
+
+  // GossipObserver
+
+  void OnPeerHeard(const MemberRecord& /*peer*/, TimePoint /*observed_at*/) override {}
+
+  void OnFreshNotice(const membership::Notice& notice) override { crashes.OnNotice(notice); }
+
+  void OnMembersChanged() override { budgets.OnVmCount(gossip.Members().AllMembers().size() + 1); }
+
+  void OnMemberHeard(const std::string& vm, bool heard) override {
+    logging::LogChange("member", heard ? "heard" : "silent", {{"peer", vm}});
+  }
+
+  void OnOwnStateChanged(MemberState state) override {
+    logging::LogChange("member", "own state",
+                       {{"state", membership::kMemberStateNames.NameOf(state)}});
+  }
+
+  // Steps
+
+  void Tick() {
+    copy.Tick();
+    AskPeer();
+    if (stopping_since.has_value()) {
+      ContinueStop();
+    }
+  }
+
+  /** While the store is lost, asks a random peer for its copy. */
+  void AskPeer() {
+    const auto lost_since = copy.LostSince();
+    if (!lost_since.has_value() || loop.Now() - *lost_since < kAskPeersAfter ||
+        peer_fetch.IsBusy()) {
+      return;
+    }
+    const auto members = gossip.Members().HeardMembers(loop.Now());
+    if (members.empty()) {
+      return;
+    }
+    std::uniform_int_distribution<std::size_t> any(0, members.size() - 1);
+    peer_fetch.Start(members[any(random)]->record.endpoints.control_rpc, copy.Version());
+  }
+
+  void TakePeerCopy(const IpEndpoint& peer, const std::string& body) {
+    if (body.empty()) {
+      return;
+    }
+    const Result<Success> taken = copy.TakeFromPeer(ToString(peer), body);
+    if (!IsOk(taken)) {
+      logging::LogError("store", ErrorOf(taken));
+    }
+  }
+
+  void BeginStop() {
+    stopping_since = loop.Now();
+    logging::LogChange("process", "stopping",
+                       {{"in_progress", std::to_string(call_server.InProgress())},
+                        {"connections", std::to_string(call_server.OpenConnections())}});
+    gossip.SetOwnState(MemberState::kLeaving, "");
+    call_server.CloseAfterResponses();
+  }
+
+  void ContinueStop() {
+    const Duration elapsed = loop.Now() - *stopping_since;
+    if (accepting && elapsed > settings.stop_grace * kAcceptPartOfGrace) {
+      accepting = false;
+      calls.RefuseNew();
+      call_server.StopAccepting();
+      call_server.CloseIdleConnections();
+    }
+    const bool is_over = elapsed > settings.stop_grace * kEndPartOfGrace;
+    if (!accepting && (call_server.InProgress() == 0 || is_over)) {
+      EndStop();
+    }
+  }
+
+  void EndStop() {
+    const std::size_t cut = call_server.InProgress();
+    exit = cut == 0 ? settings::ExitCode::kSuccess : settings::ExitCode::kStopCutRequests;
+    logging::LogChange("process", "stopped", {{"cut_requests", std::to_string(cut)}});
+    loop.Stop();
+  }
+
+  void Reload() {
+    const GatewaySettingsResult result = environment.read_settings();
+    if (!result.problems.empty()) {
+      for (const settings::SettingsProblem& problem : result.problems) {
+        logging::LogError("settings", {ErrorCode::kInvalidArgument, "reload", problem.file,
+                                       settings::ToString(problem)});
+      }
+      return;
+    }
+    settings.retry_share = result.settings.retry_share;
+    settings.retry_slack = result.settings.retry_slack;
+    settings.max_address_ttl = result.settings.max_address_ttl;
+    settings.stop_grace = result.settings.stop_grace;
+    budgets.SetOptions({settings.retry_share, settings.retry_slack});
+    logging::LogChange("settings", "reloaded",
+                       {{"retry_share", std::to_string(settings.retry_share)},
+                        {"max_address_ttl_ms", std::to_string(settings.max_address_ttl.count())}});
+  }
+};
+
+GatewayProcess::GatewayProcess(net::EventLoop& loop, const GatewaySettings& settings,
+                               const GatewayEnvironment& environment)
+    : m_impl(std::make_unique<Impl>(loop, settings, environment)) {}
+GatewayProcess::~GatewayProcess() = default;
+
+Result<Success> GatewayProcess::Start() { return m_impl->Start(); }
+
+void GatewayProcess::OnStopSignal(int count) {
+  if (count == 1) {
+    m_impl->BeginStop();
+  } else {
+    m_impl->EndStop();
+  }
+}
+
+void GatewayProcess::OnReloadSignal() { m_impl->Reload(); }
+
+settings::ExitCode GatewayProcess::Exit() const noexcept { return m_impl->exit; }
+
+}  // namespace qh::gateway
--- /dev/null
+++ b/libs/gateway/src/retry_budgets.cc
@@ -0,0 +1,52 @@
+#include "quetzalhinge/gateway/retry_budgets.h"
+
+#include <algorithm>
+
+namespace qh::gateway {
+namespace {
+
+/** Part of the slack that is divided; the rest covers VMs that come and go. */
+constexpr double kUsedPartOfSlack = 0.8;
+
+/** Part of the share that is earned; the rest covers requests that end at the edge of a window. */
+constexpr double kUsedPartOfShare = 0.9;
+
+/** VMs that are assumed until more are heard of. */
+constexpr std::size_t kAssumedVmCount = 20;
+
+}  // namespace
+
+RetryBudgets::RetryBudgets(const RetryBudgetOptions& options)
+    : m_options(options), m_vm_count(kAssumedVmCount) {}
+
+void RetryBudgets::SetOptions(const RetryBudgetOptions& options) {
+  m_options = options;
+  for (auto& [service, budget] : m_budgets) {
+    budget.SetRetryShare(m_options.share * kUsedPartOfShare);
+    budget.SetCapacity(Capacity());
+  }
+}
+
+void RetryBudgets::OnVmCount(std::size_t vm_count) {
+  m_vm_count = std::max(m_vm_count, vm_count);
+  SetOptions(m_options);
+}
+
+void RetryBudgets::OnFirstAttempt(const std::string& service) {
+  BudgetOf(service).OnFirstAttempt();
+}
+
+bool RetryBudgets::TryTake(const std::string& service) { return BudgetOf(service).TryTake(); }
+
+std::uint32_t RetryBudgets::Capacity() const noexcept {
+  const double part = m_options.slack * kUsedPartOfSlack / static_cast<double>(m_vm_count);
+  return static_cast<std::uint32_t>(std::max(1.0, part));
+}
+
+retries::RetryBudget& RetryBudgets::BudgetOf(const std::string& service) {
+  return m_budgets
+      .try_emplace(service, retries::RetryBudget(m_options.share * kUsedPartOfShare, Capacity()))
+      .first->second;
+}
+
+}  // namespace qh::gateway
--- /dev/null
+++ b/libs/gateway/src/worker_links.cc
@@ -0,0 +1,228 @@
+#include "quetzalhinge/gateway/worker_links.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "quetzalhinge/logging/log.h"
+
+namespace qh::gateway {
+namespace {
+
+using dispatch::WorkerRecord;
+using dispatch::WorkerStatus;
+using std::chrono::milliseconds;
+
+/** Whole time of a probe. A worker that needs longer is not one to send a request to. */
+constexpr milliseconds kProbeTimeout{300};
+
+/** How long a worker that calls itself unhealthy, or is not reached, is avoided. */
+constexpr milliseconds kUnhealthyTime{700};
+
+/** Idle connections kept for one worker; more are opened when requests need them. */
+constexpr std::size_t kMaxIdleConnections = 8;
+
+constexpr int kOk = 200;
+constexpr int kMisdirected = 421;
+
+}  // namespace
+
+struct WorkerLinks::Impl : public std::enable_shared_from_this<WorkerLinks::Impl> {
+  struct Link {
+    std::vector<std::shared_ptr<http::ClientConnection>> idle;
+    std::vector<ProbeCallback> waiting;
+    WorkerConnection probing;
+  };
+
+  net::EventLoop& loop;
+  const CallHeaders& headers;
+  const RecordDecoder& decoder;
+  dispatch::WorkerRegistry& registry;
+  const routes::RouteTable& routes;
+  metrics::Counter& probes;
+  metrics::Counter& new_connections;
+  std::map<std::string, Link> links;
+
+  Impl(net::EventLoop& event_loop, metrics::MetricsRegistry& metrics,
+       const CallHeaders& call_headers, const RecordDecoder& record_decoder,
+       dispatch::WorkerRegistry& workers, const routes::RouteTable& route_table)
+      : loop(event_loop),
+        headers(call_headers),
+        decoder(record_decoder),
+        registry(workers),
+        routes(route_table),
+        probes(metrics.CounterOf("qh_worker_probes_total")),
+        new_connections(metrics.CounterOf("qh_worker_connections_opened_total")) {}
+
+  std::shared_ptr<http::ClientConnection> Open(const WorkerRecord& worker) {
+    new_connections.Add();
+    return std::make_shared<http::ClientConnection>(loop, worker.address,
+                                                    http::ClientConnectionOptions{});
+  }
+
+  WorkerConnection Lend(const std::string& id, bool anew) {
+    const WorkerStatus* worker = registry.Find(id);
+    if (worker == nullptr) {
+      return {};
+    }
+    Link& link = links[id];
+    const TimePoint now = loop.Now();
+    while (!link.idle.empty() && !anew) {
+      std::shared_ptr<http::ClientConnection> connection = std::move(link.idle.back());
+      link.idle.pop_back();
+      if (connection->IsIdle() && now < connection->IdleUntil()) {
+        return {std::move(connection), worker->record};
+      }
+    }
+    return {Open(worker->record), worker->record};
+  }
+
+  void GiveBack(WorkerConnection lent) {
+    if (lent.connection == nullptr || !lent.connection->IsIdle()) {
+      return;
+    }
+    const WorkerStatus* worker = registry.Find(lent.worker.id);
+    // A connection to an earlier start of the worker, or to its former address, is closed.
+    if (worker == nullptr || worker->record.address != lent.worker.address ||
+        worker->record.started_unix_ms != lent.worker.started_unix_ms) {
+      return;
+    }
+    Link& link = links[lent.worker.id];
+    if (link.idle.size() < kMaxIdleConnections) {
+      link.idle.push_back(std::move(lent.connection));
+    }
+  }
+
+  /** Sends a probe over `lent`; `done` runs with whether the worker is well. */
+  void Send(const WorkerConnection& lent, std::function<void(bool)> done) {
+    const routes::Service* service = routes.FindService(lent.worker.service);
+    http::ClientRequest call;
+    call.request.method = "GET";
+    call.request.path = service != nullptr ? service->health_path : "/";
+    call.timeout = kProbeTimeout;
+    probes.Add();
+    lent.connection->Start(call, [weak = weak_from_this(), worker = lent.worker,
+                                  done = std::move(done)](const http::HttpCallResult& result) {
+      // Posted, so that the connection is idle and the caller has returned.
+      const auto self = weak.lock();
+      if (self != nullptr) {
+        const bool is_well = self->Judge(worker, result);
+        self->loop.Post([done, is_well] { done(is_well); });
+      }
+    });
+  }
+
+  void FinishProbe(const std::string& id, bool is_well) {
+    Link& link = links[id];
+    GiveBack(std::exchange(link.probing, {}));
+    const std::vector<ProbeCallback> callbacks = std::exchange(link.waiting, {});
+    for (const ProbeCallback& run : callbacks) {
+      run(is_well);
+    }
+  }
+
+  bool Judge(const WorkerRecord& worker, const http::HttpCallResult& result) {
+    WorkerStatus* status = registry.Find(worker.id);
+    if (status == nullptr) {
+      return false;
+    }
+    const TimePoint now = loop.Now();
+    status->probed_at = now;
+    if (const auto* failure = std::get_if<http::HttpCallFailure>(&result)) {
+      status->unhealthy_until = now + kUnhealthyTime;
+      logging::LogDecision("worker", "probe failed",
+                           {{"worker", worker.id},
+                            {"peer", ToString(worker.address)},
+                            {"step", failure->error.step},
+                            {"detail", failure->error.detail}});
+      return false;
+    }
+    const auto& response = std::get<http::HttpResponse>(result);
+    const auto identity = http::FindHeader(response.headers, headers.worker_id);
+    const bool is_other = identity.has_value() && *identity != worker.id;
+    TakeReport(worker.id, response);
+    if (response.status == kOk && !is_other) {
+      status->unhealthy_until = now;
+      return true;
+    }
+    status->unhealthy_until = now + kUnhealthyTime;
+    logging::LogDecision("worker", "probe refused",
+                         {{"worker", worker.id},
+                          {"status", std::to_string(response.status)},
+                          {"identity", identity.has_value() ? std::string(*identity) : ""}});
+    return false;
+  }
+
+  void TakeReport(const std::string& id, const http::HttpResponse& response) {
+    const WorkerStatus* worker = registry.Find(id);
+    if (worker == nullptr || response.status == kMisdirected) {
+      return;
+    }
+    const auto value = http::FindHeader(response.headers, headers.worker_load);
+    if (value.has_value()) {
+      const auto report = decoder.DecodeLoad(*value);
+      if (report.has_value()) {
+        registry.OnReport(id, *report, loop.Now());
+        return;
+      }
+    }
+    // A worker that tells no load but has answered has had a free slot for it; a refusal means that
+    // it has none.
+    dispatch::LoadReport assumed;
+    assumed.slots = worker->record.slots;
+    assumed.running = response.status == kOk ? worker->in_progress : worker->record.slots;
+    registry.OnReport(id, assumed, loop.Now());
+  }
+};
+
+WorkerLinks::WorkerLinks(net::EventLoop& loop, metrics::MetricsRegistry& metrics,
+                         const CallHeaders& headers, const RecordDecoder& decoder,
+                         dispatch::WorkerRegistry& registry, const routes::RouteTable& routes)
+    : m_impl(std::make_shared<Impl>(loop, metrics, headers, decoder, registry, routes)) {}
+WorkerLinks::~WorkerLinks() = default;
+
+void WorkerLinks::Probe(const std::string& id, ProbeCallback callback) {
+  Impl::Link& link = m_impl->links[id];
+  link.waiting.push_back(std::move(callback));
+  if (link.waiting.size() > 1) {
+    return;
+  }
+  link.probing = m_impl->Lend(id, false);
+  auto finish = [weak = std::weak_ptr<Impl>(m_impl), id](bool is_well) {
+    if (const auto impl = weak.lock()) {
+      impl->FinishProbe(id, is_well);
+    }
+  };
+  if (link.probing.connection == nullptr) {
+    m_impl->loop.Post([finish] { finish(false); });
+    return;
+  }
+  m_impl->Send(link.probing, std::move(finish));
+}
+
+void WorkerLinks::ProbeAnew(const std::string& id, ProbeCallback callback) {
+  auto lent = std::make_shared<WorkerConnection>(m_impl->Lend(id, true));
+  if (lent->connection == nullptr) {
+    m_impl->loop.Post([callback = std::move(callback)] { callback(false); });
+    return;
+  }
+  m_impl->Send(*lent, [lent, callback = std::move(callback)](bool is_well) { callback(is_well); });
+}
+
+WorkerConnection WorkerLinks::Lend(const std::string& id) { return m_impl->Lend(id, false); }
+
+void WorkerLinks::GiveBack(WorkerConnection lent) { m_impl->GiveBack(std::move(lent)); }
+
+void WorkerLinks::Drop(const std::string& id) {
+  const auto link = m_impl->links.find(id);
+  if (link != m_impl->links.end()) {
+    link->second.idle.clear();
+  }
+}
+
+void WorkerLinks::TakeReport(const std::string& id, const http::HttpResponse& response) {
+  m_impl->TakeReport(id, response);
+}
+
+}  // namespace qh::gateway
--- a/libs/logging/src/log.cc
+++ b/libs/logging/src/log.cc
@@ -6,9 +6,14 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
+#include <chrono>
 #include <iostream>
 
+#include "line_budget.h"
+#include "non_blocking_output.h"
 #include "quetzalhinge/base/enum_table.h"
 
 namespace qh::logging {
@@ -22,6 +27,9 @@
   return stream << kLevelNames.NameOf(level);
 }
 
+/** Lines of LogDecision() a second; a request has two or three. */
+constexpr int kDecisionsPerSecond = 300;
+
 std::string& ProcessName() {
   static std::string name = "?";
   return name;
@@ -63,17 +71,22 @@
 
 }  // namespace
 
-void StartLogging(const std::string& process) {
+void StartLogging(const std::string& process, LogOutput output) {
   namespace expr = boost::log::expressions;
   ProcessName() = process;
   boost::log::core::get()->add_global_attribute("TimeStamp", boost::log::attributes::utc_clock());
-  boost::log::add_console_log(
-      std::cerr,
-      boost::log::keywords::format =
-          (expr::stream << expr::format_date_time<boost::posix_time::ptime>("TimeStamp",
-                                                                            "%Y-%m-%dT%H:%M:%S.%fZ")
-                        << " " << expr::attr<Level>("Severity") << " " << expr::smessage),
-      boost::log::keywords::auto_flush = true);
+  const auto format = expr::stream
+                      << expr::format_date_time<boost::posix_time::ptime>("TimeStamp",
+                                                                          "%Y-%m-%dT%H:%M:%S.%fZ")
+                      << " " << expr::attr<Level>("Severity") << " " << expr::smessage;
+  if (output == LogOutput::kStandardError) {
+    boost::log::add_console_log(std::cerr, boost::log::keywords::format = format,
+                                boost::log::keywords::auto_flush = true);
+    return;
+  }
+  auto sink = boost::make_shared<boost::log::sinks::synchronous_sink<NonBlockingOutput>>();
+  sink->set_formatter(format);
+  boost::log::core::get()->add_sink(sink);
 }
 
 void LogChange(std::string_view component, std::string_view step,
@@ -85,6 +98,23 @@
   Write(Level::kInfo, line);
 }
 
+void LogDecision(std::string_view component, std::string_view step,
+                 std::initializer_list<LogField> fields) {
+  static LineBudget budget(kDecisionsPerSecond);
+  if (!budget.TryTake(std::chrono::steady_clock::now())) {
+    return;
+  }
+  std::string line = LineStart(component, step);
+  for (const LogField& field : fields) {
+    AppendField(line, field.name, field.value);
+  }
+  const std::uint64_t left_out = budget.TakeLeftOut();
+  if (left_out > 0) {
+    AppendField(line, "lines_left_out", std::to_string(left_out));
+  }
+  Write(Level::kInfo, line);
+}
+
 void LogError(std::string_view component, const Error& error) {
   std::string line = LineStart(component, error.step);
   if (!error.peer.empty()) {
--- a/libs/retries/include/quetzalhinge/retries/retry_budget.h
+++ b/libs/retries/include/quetzalhinge/retries/retry_budget.h
@@ -27,6 +27,9 @@
   /** Applies a new share; saved tokens stay. */
   void SetRetryShare(double retry_share) noexcept;
 
+  /** Applies a new largest number of saved tokens; tokens above it are lost. */
+  void SetCapacity(std::uint32_t capacity) noexcept;
+
   /** Returns the whole tokens that are left. */
   std::uint32_t TokensLeft() const noexcept;
 
--- a/libs/retries/src/retry_budget.cc
+++ b/libs/retries/src/retry_budget.cc
@@ -36,6 +36,11 @@
   m_earned_per_attempt = EarnedPerAttempt(retry_share);
 }
 
+void RetryBudget::SetCapacity(std::uint32_t capacity) noexcept {
+  m_capacity = capacity * kToken;
+  m_tokens = std::min(m_tokens, m_capacity);
+}
+
 std::uint32_t RetryBudget::TokensLeft() const noexcept {
   return static_cast<std::uint32_t>(m_tokens / kToken);
 }
--- a/libs/settings/src/settings_reader.cc
+++ b/libs/settings/src/settings_reader.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <limits>
+#include <cmath>
 #include <numeric>
 #include <sstream>
 
@@ -32,19 +32,22 @@
   const char* name;
   std::int64_t millis;
 };
+/** Longest time that can be written, above 30,000 years; exact in a double. */
+constexpr double kMaxMillis = 1e15;
+
 constexpr std::array<TimeUnit, 3> kTimeUnits{{{"ms", 1}, {"s", 1000}, {"min", 60000}}};
 
 std::optional<milliseconds> ParseTime(const std::string& text) {
-  std::int64_t count = 0;
+  double count = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
-  if (error != std::errc()) {
+  if (error != std::errc() || !std::isfinite(count)) {
     return std::nullopt;
   }
   const std::string unit = Trim(std::string(end, text.data() + text.size()));
   for (const TimeUnit& candidate : kTimeUnits) {
-    if (unit == candidate.name &&
-        std::abs(count) <= std::numeric_limits<std::int64_t>::max() / candidate.millis) {
-      return milliseconds(count * candidate.millis);
+    const double millis = count * static_cast<double>(candidate.millis);
+    if (unit == candidate.name && std::abs(millis) <= kMaxMillis) {
+      return milliseconds(std::llround(millis));
     }
   }
   return std::nullopt;
@@ -141,7 +144,7 @@
   if (!value.has_value() || *value < min || *value > max) {
     AddProblem(*entry,
                RangeText(std::to_string(min.count()) + " ms", std::to_string(max.count()) + " ms",
-                         "a whole number with the unit ms, s or min,"));
+                         "a number with the unit ms, s or min,"));
     return fallback.value_or(min);
   }
   return *value;
