Pass a response without a length on without one

Ruled out: a reset taken for an end (the end was a clean one), chunked bodies (the parser refuses a cut between chunks). Change: such a response is passed on in the same form, and ends its connection.

--- a/libs/gateway/src/call_task.cc
+++ b/libs/gateway/src/call_task.cc
@@ -357,6 +357,7 @@
   http::HttpResponse answer;
   answer.status = response.status;
   answer.body = response.body;
+  answer.ends_with_connection = response.ends_with_connection;
   for (const http::HttpHeader& header : response.headers) {
     const CallHeaders& names = m_context.headers;
     if (header.name != names.worker_load && header.name != names.worker_id) {
--- a/libs/http/include/quetzalhinge/http/http_message.h
+++ b/libs/http/include/quetzalhinge/http/http_message.h
@@ -32,6 +32,11 @@
   std::string body;
   /** Whether the connection is to be closed after this response. */
   bool close_connection = false;
+  /**
+   * The body has no length: it ends with its connection, so that nobody can tell whether it is
+   * whole. ConnectionServer passes it on in the same form.
+   */
+  bool ends_with_connection = false;
 };
 
 /** Returns the value of the first field `name` (lower case), or nothing. */
--- a/libs/http/src/connection_server.cc
+++ b/libs/http/src/connection_server.cc
@@ -30,7 +30,7 @@
   for (const HttpHeader& header : WithoutHopByHop(response.headers)) {
     text += header.name + ": " + header.value + "\r\n";
   }
-  if (response.status != 204 && response.status != 304) {
+  if (response.status != 204 && response.status != 304 && !response.ends_with_connection) {
     text += "content-length: " + std::to_string(response.body.size()) + "\r\n";
   }
   text += close ? "connection: close\r\n\r\n" : "\r\n";
@@ -161,8 +161,8 @@
     const std::shared_ptr<Connection> connection = m_connection.lock();
     if (connection != nullptr) {
       HttpResponse sent = response;
-      sent.close_connection =
-          response.close_connection || !m_keep || m_server->close_after_responses;
+      sent.close_connection = response.close_connection || response.ends_with_connection ||
+                              !m_keep || m_server->close_after_responses;
       connection->Send(sent, m_request.method == "HEAD");
     }
   }
--- a/libs/http/src/message_reader.cc
+++ b/libs/http/src/message_reader.cc
@@ -195,6 +195,7 @@
   }
   if (m_impl->started) {
     http_parser_execute(&m_impl->parser, &Impl::Settings(), nullptr, 0);
+    m_impl->response.ends_with_connection = m_impl->complete;
   }
   if (!m_impl->complete) {
     m_impl->fault = ReadFault::kCutShort;
--- /dev/null
+++ b/libs/http/test/test_connections.cc
@@ -0,0 +1,233 @@
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "quetzalhinge/http/client_connection.h"
+#include "quetzalhinge/http/connection_server.h"
+#include "quetzalhinge/net/tcp_connection.h"
+#include "quetzalhinge/net/tcp_listener.h"
+
+using namespace qh;
+using namespace qh::http;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Runs the loop until `done` holds; fails the test if it never does. */
+void RunUntil(net::EventLoop& loop, const std::function<bool()>& done) {
+  const TimePoint limit = loop.Now() + 20s;
+  while (!done() && loop.Now() < limit) {
+    loop.RunOnce(10ms);
+  }
+  REQUIRE(done());
+}
+
+/** A peer that sends scripted bytes for each request head that it has read. */
+class ScriptedPeer : public net::TcpObserver {
+ public:
+  ScriptedPeer(net::EventLoop& loop, std::string answer, bool close_after)
+      : m_answer(std::move(answer)),
+        m_close_after(close_after),
+        m_listener(loop, [this, &loop](uv_stream_s* stream) {
+          m_connection = std::make_unique<net::TcpConnection>(loop, stream, *this);
+        }) {
+    REQUIRE(IsOk(m_listener.Listen({"127.0.0.1", 0})));
+  }
+
+  IpEndpoint Endpoint() const { return m_listener.LocalEndpoint(); }
+  const std::string& Received() const { return m_received; }
+  bool PeerLeft() const { return m_peer_left; }
+  void Send(const std::string& bytes) { m_connection->Write(bytes); }
+
+ private:
+  void OnBytes(std::string_view bytes) override {
+    m_received += bytes;
+    if (bytes.find("\r\n\r\n") != std::string_view::npos && !m_answer.empty()) {
+      m_connection->Write(m_answer);
+      if (m_close_after) {
+        m_connection->FinishWriting();
+      }
+    }
+  }
+  void OnEnd(net::TcpEnd /*end*/, const Error& /*error*/) override { m_peer_left = true; }
+
+  std::string m_answer;
+  bool m_close_after;
+  std::string m_received;
+  bool m_peer_left = false;
+  std::unique_ptr<net::TcpConnection> m_connection;
+  net::TcpListener m_listener;
+};
+
+ClientRequest MakeRequest(const std::string& id = "") {
+  ClientRequest request;
+  request.request.method = "GET";
+  request.request.path = "/a";
+  request.timeout = 10s;
+  if (!id.empty()) {
+    request.is_own_response = [id](const HttpResponse& response) {
+      return FindHeader(response.headers, "x-id") == id;
+    };
+  }
+  return request;
+}
+
+/** Starts a call and runs the loop until its result is there. */
+HttpCallResult Call(net::EventLoop& loop, ClientConnection& connection,
+                    const ClientRequest& request) {
+  std::optional<HttpCallResult> result;
+  connection.Start(request, [&](HttpCallResult value) { result = std::move(value); });
+  RunUntil(loop, [&] { return result.has_value(); });
+  return *result;
+}
+
+const std::string kOwn = "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 2\r\n\r\nok";
+const std::string kForeign = "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\nold";
+
+}  // namespace
+
+SCENARIO("A client connection never takes one response for another") {
+  net::EventLoop loop;
+
+  GIVEN("a worker that answers well") {
+    ScriptedPeer worker(loop, kOwn, false);
+    ClientConnection connection(loop, worker.Endpoint(), {});
+    const auto result = Call(loop, connection, MakeRequest("own"));
+    REQUIRE(std::holds_alternative<HttpResponse>(result));
+    CHECK(std::get<HttpResponse>(result).body == "ok");
+    THEN("the connection is used again") {
+      CHECK(connection.IsIdle());
+      CHECK(std::holds_alternative<HttpResponse>(Call(loop, connection, MakeRequest("own"))));
+    }
+    THEN("bytes that nobody asked for end it") {
+      worker.Send(kForeign);
+      RunUntil(loop, [&] { return connection.IsSpent(); });
+    }
+  }
+  GIVEN("a worker that sends an extra response behind the own one") {
+    ScriptedPeer worker(loop, kOwn + kForeign, false);
+    ClientConnection connection(loop, worker.Endpoint(), {});
+    const auto result = Call(loop, connection, MakeRequest("own"));
+    THEN("the own one counts and the connection is not used again") {
+      CHECK(std::get<HttpResponse>(result).body == "ok");
+      CHECK(connection.IsSpent());
+    }
+  }
+  GIVEN("a worker whose late response stands before the own one") {
+    ScriptedPeer worker(loop, kForeign + kOwn, false);
+    ClientConnection connection(loop, worker.Endpoint(), {});
+    const auto result = Call(loop, connection, MakeRequest("own"));
+    THEN("it is dropped and the own one counts") {
+      REQUIRE(std::holds_alternative<HttpResponse>(result));
+      CHECK(std::get<HttpResponse>(result).body == "ok");
+      CHECK(connection.IsSpent());
+    }
+  }
+  GIVEN("a worker that breaks its response off") {
+    ScriptedPeer worker(loop, "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 9\r\n\r\nok", true);
+    ClientConnection connection(loop, worker.Endpoint(), {});
+    const auto result = Call(loop, connection, MakeRequest("own"));
+    THEN("there is no response") {
+      REQUIRE(std::holds_alternative<HttpCallFailure>(result));
+      CHECK(std::get<HttpCallFailure>(result).stage == CallStage::kResponseStarted);
+      CHECK(std::get<HttpCallFailure>(result).closed_by_peer);
+    }
+  }
+  GIVEN("a worker whose response ends with its connection") {
+    ScriptedPeer worker(loop, "HTTP/1.1 200 OK\r\nX-Id: own\r\n\r\nok", true);
+    ClientConnection connection(loop, worker.Endpoint(), {});
+    const auto result = Call(loop, connection, MakeRequest("own"));
+    THEN("nobody can tell whether it is whole, and it says so") {
+      REQUIRE(std::holds_alternative<HttpResponse>(result));
+      CHECK(std::get<HttpResponse>(result).ends_with_connection);
+    }
+  }
+  GIVEN("a port without a listener") {
+    IpEndpoint nobody;
+    {
+      net::TcpListener listener(loop, [](uv_stream_s*) {});
+      REQUIRE(IsOk(listener.Listen({"127.0.0.1", 0})));
+      nobody = listener.LocalEndpoint();
+    }
+    loop.RunOnce(1ms);
+    ClientConnection connection(loop, nobody, {});
+    const auto result = Call(loop, connection, MakeRequest());
+    THEN("no byte was sent") {
+      CHECK(std::get<HttpCallFailure>(result).stage == CallStage::kNotConnected);
+    }
+  }
+  GIVEN("a call that is given up") {
+    ScriptedPeer worker(loop, "", false);
+    auto connection =
+        std::make_unique<ClientConnection>(loop, worker.Endpoint(), ClientConnectionOptions{});
+    bool called = false;
+    connection->Start(MakeRequest(), [&](const HttpCallResult&) { called = true; });
+    RunUntil(loop, [&] { return !worker.Received().empty(); });
+    connection.reset();
+    THEN("the worker sees its connection end and the callback does not run") {
+      RunUntil(loop, [&] { return worker.PeerLeft(); });
+      CHECK_FALSE(called);
+    }
+  }
+}
+
+SCENARIO("A server reads on while it owes a response") {
+  net::EventLoop loop;
+  std::shared_ptr<ServerExchange> held;
+  bool peer_gone = false;
+  int handled = 0;
+  ConnectionServer server(loop, {}, [&](std::shared_ptr<ServerExchange> exchange) {
+    ++handled;
+    held = std::move(exchange);
+    held->OnPeerGone([&] { peer_gone = true; });
+  });
+  REQUIRE(IsOk(server.Listen({"127.0.0.1", 0})));
+  auto client =
+      std::make_unique<ClientConnection>(loop, server.LocalEndpoint(), ClientConnectionOptions{});
+
+  WHEN("the caller leaves") {
+    client->Start(MakeRequest(), [](const HttpCallResult&) {});
+    RunUntil(loop, [&] { return handled == 1; });
+    client.reset();
+    THEN("the handler learns it, and a late response does no harm") {
+      RunUntil(loop, [&] { return peer_gone; });
+      held->Respond({200, {}, "late", false});
+      CHECK(server.InProgress() == 0);
+    }
+  }
+  WHEN("the response has no known length") {
+    std::optional<HttpCallResult> result;
+    client->Start(MakeRequest(), [&](HttpCallResult value) { result = std::move(value); });
+    RunUntil(loop, [&] { return handled == 1; });
+    held->Respond({200, {}, "body", false, true});
+    RunUntil(loop, [&] { return result.has_value(); });
+    THEN("it is passed on without one, and ends the connection") {
+      const auto& response = std::get<HttpResponse>(*result);
+      CHECK(response.body == "body");
+      CHECK(response.ends_with_connection);
+      CHECK_FALSE(FindHeader(response.headers, "content-length").has_value());
+    }
+  }
+  WHEN("the server is told to close after responses") {
+    server.CloseAfterResponses();
+    std::optional<HttpCallResult> result;
+    client->Start(MakeRequest(), [&](HttpCallResult value) { result = std::move(value); });
+    RunUntil(loop, [&] { return handled == 1; });
+    held->Respond({200, {}, "last", false});
+    RunUntil(loop, [&] { return result.has_value(); });
+    THEN("the response says so and is whole") {
+      CHECK(std::get<HttpResponse>(*result).body == "last");
+      CHECK(FindHeader(std::get<HttpResponse>(*result).headers, "connection") == "close");
+    }
+  }
+  WHEN("a handler drops an exchange") {
+    std::optional<HttpCallResult> result;
+    client->Start(MakeRequest(), [&](HttpCallResult value) { result = std::move(value); });
+    RunUntil(loop, [&] { return handled == 1; });
+    held.reset();
+    RunUntil(loop, [&] { return result.has_value(); });
+    THEN("the caller gets 500") { CHECK(std::get<HttpResponse>(*result).status == 500); }
+  }
+}
--- /dev/null
+++ b/libs/http/test/test_message_reader.cc
@@ -0,0 +1,110 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "quetzalhinge/http/message_reader.h"
+
+using namespace qh::http;
+
+namespace {
+
+/** Feeds `bytes` one by one up to the end of the message; returns how many were used. */
+std::size_t FeedSingly(MessageReader& reader, const std::string& bytes) {
+  std::size_t used = 0;
+  while (used < bytes.size() && !reader.IsComplete() && !reader.Fault().has_value()) {
+    used += reader.Read(bytes.substr(used, 1));
+  }
+  return used;
+}
+
+}  // namespace
+
+SCENARIO("A reader takes one message at a time from a connection") {
+  GIVEN("requests") {
+    MessageReader reader(MessageKind::kRequest, {});
+    const std::string first = "POST /a?b=c HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+    THEN("bytes after a message are left alone") {
+      CHECK(reader.Read(first + "GET /next") == first.size());
+      REQUIRE(reader.IsComplete());
+      CHECK(reader.Request().method == "POST");
+      CHECK(reader.Request().path == "/a?b=c");
+      CHECK(reader.Request().body == "abc");
+      CHECK(FindHeader(reader.Request().headers, "host") == "x");
+      CHECK(reader.KeepsConnection());
+    }
+    THEN("a message in single bytes is the same") {
+      CHECK(FeedSingly(reader, first) == first.size());
+      REQUIRE(reader.IsComplete());
+      CHECK(reader.Request().body == "abc");
+    }
+    THEN("chunks are joined and trailers dropped") {
+      reader.Read(
+          "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "2\r\nab\r\n1\r\nc\r\n0\r\nX-Trailer: y\r\n\r\n");
+      REQUIRE(reader.IsComplete());
+      CHECK(reader.Request().body == "abc");
+      CHECK_FALSE(FindHeader(reader.Request().headers, "x-trailer").has_value());
+    }
+    THEN("two descriptions of the length are a fault") {
+      reader.Read(
+          "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+      CHECK(reader.Fault() == ReadFault::kMalformed);
+    }
+    THEN("two different lengths are a fault") {
+      reader.Read(
+          "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc");
+      CHECK(reader.Fault() == ReadFault::kMalformed);
+    }
+    THEN("a connection that ends early is a fault") {
+      reader.Read("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nab");
+      reader.ReadEnd();
+      CHECK(reader.Fault() == ReadFault::kCutShort);
+    }
+  }
+  GIVEN("small limits") {
+    MessageReader reader(MessageKind::kRequest, {64, 4});
+    THEN("a long head is a fault") {
+      FeedSingly(reader, "GET / HTTP/1.1\r\nHost: " + std::string(100, 'x') + "\r\n\r\n");
+      CHECK(reader.Fault() == ReadFault::kHeadTooLarge);
+    }
+    THEN("a long body is a fault before it has been sent") {
+      reader.Read("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n");
+      CHECK(reader.Fault() == ReadFault::kBodyTooLarge);
+    }
+    THEN("a long body in chunks is a fault") {
+      reader.Read("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n");
+      CHECK(reader.Fault() == ReadFault::kBodyTooLarge);
+    }
+  }
+  GIVEN("responses") {
+    MessageReader reader(MessageKind::kResponse, {});
+    THEN("an interim response is skipped") {
+      reader.Read("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n");
+      REQUIRE(reader.IsComplete());
+      CHECK(reader.Response().status == 204);
+    }
+    THEN("one without a length is complete when its connection ends, and says so") {
+      reader.Read("HTTP/1.1 200 OK\r\n\r\nabc");
+      CHECK_FALSE(reader.IsComplete());
+      reader.ReadEnd();
+      REQUIRE(reader.IsComplete());
+      CHECK(reader.Response().body == "abc");
+      CHECK(reader.Response().ends_with_connection);
+      CHECK_FALSE(reader.KeepsConnection());
+    }
+    THEN("one that is cut between two chunks is not complete") {
+      reader.Read("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+      reader.ReadEnd();
+      CHECK(reader.Fault() == ReadFault::kCutShort);
+    }
+    THEN("the response to a HEAD request has no body") {
+      reader.Restart(true);
+      reader.Read("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n");
+      CHECK(reader.IsComplete());
+    }
+    THEN("bytes that are no response are a fault") {
+      reader.Read("garbage garbage\r\n\r\n");
+      CHECK(reader.Fault() == ReadFault::kMalformed);
+    }
+  }
+}
