Let one VM of each zone read the store and pass rows on

Change: the first VM of a zone by a common order reads the store with short waits; the others wait at it. Answers carry their age, so that circles and stuck readers show. Gossip tells of changes, stays in the zone for three rounds of four, and knows the number of VMs, without which live members were suspected at 131 VMs.

--- a/libs/gateway/include/quetzalhinge/gateway/gateway_settings.h
+++ b/libs/gateway/include/quetzalhinge/gateway/gateway_settings.h
@@ -31,7 +31,7 @@
   /** Authenticates gossip between VMs; at least 16 characters, the same on all VMs. */
   std::string deployment_key;
   /** Time between two gossip rounds of a VM. */
-  std::chrono::milliseconds gossip_interval{500};
+  std::chrono::milliseconds gossip_interval{300};
 
   /** Most repeats that a worker may get, as a share of the requests for its service. */
   double retry_share = 0.2;
--- a/libs/gateway/include/quetzalhinge/gateway/store_copy.h
+++ b/libs/gateway/include/quetzalhinge/gateway/store_copy.h
@@ -25,6 +25,9 @@
   /** Another configuration is in force. */
   virtual void OnConfigurationApplied() = 0;
 
+  /** Rows of `table` have been taken. */
+  virtual void OnTableTaken(const std::string& table) = 0;
+
   /** Something happened to a worker. */
   virtual void OnWorkerEvent(const dispatch::WorkerEvent& event) = 0;
 };
@@ -51,14 +54,8 @@
   /** Returns since when a table cannot be read from the store; nothing while both can. */
   std::optional<TimePoint> LostSince() const noexcept;
 
-  /** Returns the store version of the older of the two tables' copies. */
-  std::uint64_t Version() const noexcept;
-
-  /** Returns the copy for a peer, or an empty text if it reflects nothing later than `after`. */
-  std::string ForPeer(std::uint64_t after) const;
-
-  /** Takes what ForPeer() of another VM has returned. Errors: kProtocol. */
-  Result<Success> TakeFromPeer(const std::string& peer, const std::string& text);
+  /** The store is back from an outage since `ago`: removals are put off for a while. */
+  void OnStoreReturned(Duration ago);
 
   /** Performs what is due: removals of workers that were put off. */
   void Tick();
--- a/libs/gateway/include/quetzalhinge/gateway/table_follower.h
+++ b/libs/gateway/include/quetzalhinge/gateway/table_follower.h
@@ -39,9 +39,6 @@
   /** Starts to read. */
   void Start();
 
-  /** Takes rows that came on another way, if they are newer. Returns whether they are. */
-  bool Offer(const store::TableRows& whole_table);
-
   /** Returns the store version that the copy reflects; 0 if nothing was read. */
   std::uint64_t Version() const noexcept;
 
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -1,13 +1,11 @@
 #include "quetzalhinge/gateway/gateway_process.h"
 
 #include <algorithm>
-#include <charconv>
-#include <set>
 #include <utility>
 
-#include "peer_fetch.h"
 #include "quetzalhinge/base/hash.h"
 #include "quetzalhinge/gateway/call_service.h"
+#include "quetzalhinge/gateway/relayed_store.h"
 #include "quetzalhinge/gateway/store_copy.h"
 #include "quetzalhinge/gossip/gossip_task.h"
 #include "quetzalhinge/logging/log.h"
@@ -23,8 +21,14 @@
 /** How often due work is looked for: removals, fetches from peers, the end of a planned stop. */
 constexpr milliseconds kTickInterval{200};
 
-/** How long the store has to be lost before peers are asked for their copy. */
-constexpr milliseconds kAskPeersAfter{300};
+/**
+ * How long after another VM has told of a newer change this VM's own reading may take, before the
+ * store is asked at once.
+ */
+constexpr milliseconds kNewsTime{700};
+
+/** How long a new process waits to hear of others before it reads the store itself. */
+constexpr milliseconds kFirstReadDelay{700};
 
 /**
  * Part of the grace of a planned stop during which new requests are still taken: callers keep
@@ -54,7 +58,10 @@
 constexpr milliseconds kMaxClockDifference{600000};
 
 /** Bytes of a regular gossip message; a smaller one costs less between zones. */
-constexpr std::size_t kGossipDatagramBytes = 600;
+constexpr std::size_t kGossipDatagramBytes = 900;
+
+/** Part of the gossip rounds that stay in the zone, where address answers and relays need them. */
+constexpr double kGossipOwnZoneShare = 0.75;
 
 /** Other VMs' questions and the metrics: small, and over at once. */
 http::ConnectionLimits InternalLimits() {
@@ -75,6 +82,7 @@
   options.self.endpoints.gossip = settings.internal;
   options.gossip.interval = settings.gossip_interval;
   options.gossip.max_datagram_bytes = kGossipDatagramBytes;
+  options.gossip.own_zone_share = kGossipOwnZoneShare;
   options.authenticator.max_age = kMaxClockDifference;
   options.deployment_key = settings.deployment_key;
   return options;
@@ -97,14 +105,20 @@
   RetryBudgets budgets;
   CallContext context;
   CallService calls;
+  RelayedStore relayed_store;
   StoreCopy copy;
-  PeerFetch peer_fetch;
   http::ConnectionServer call_server;
   http::ConnectionServer ready_server;
   http::ConnectionServer address_server;
   http::ConnectionServer internal_server;
   net::Timer tick;
   net::Timer register_timer;
+  net::Timer first_read_timer;
+  net::Timer news_timer;
+  bool reading = false;
+  bool worker_has_left = false;
+  /** Newest change that another VM has told of. */
+  std::uint64_t newest_change_heard = 0;
   std::optional<TimePoint> stopping_since;
   bool accepting = true;
   settings::ExitCode exit = settings::ExitCode::kSuccess;
@@ -121,18 +135,21 @@
         context{settings.zone, loop,  random,  metrics, environment.headers, routes, registry,
                 picker,        links, crashes, budgets},
         calls(context),
-        copy(loop, random, metrics, environment.store, environment.layout, environment.decoder,
-             routes, registry, settings.worker_drain, *this),
-        peer_fetch(loop, [this](const IpEndpoint& peer,
-                                const std::string& body) { TakePeerCopy(peer, body); }),
+        relayed_store(loop, metrics, environment.store, settings.name),
+        copy(loop, random, metrics, relayed_store, environment.layout, environment.decoder, routes,
+             registry, settings.worker_drain, *this),
         call_server(loop, {}, [this](auto exchange) { calls.Handle(std::move(exchange)); }),
         ready_server(loop, InternalLimits(), [this](auto exchange) { AnswerReady(*exchange); }),
         address_server(loop, InternalLimits(),
                        [this](auto exchange) { AnswerAddresses(*exchange); }),
         internal_server(loop, InternalLimits(),
-                        [this](auto exchange) { AnswerInternal(*exchange); }),
+                        [this](auto exchange) { AnswerInternal(exchange); }),
         tick(loop, [this] { Tick(); }),
-        register_timer(loop, [this] { Register(); }) {}
+        register_timer(loop, [this] { Register(); }),
+        first_read_timer(loop, [this] { StartReading(); }),
+        news_timer(loop, [this] { CheckNews(); }) {
+    relayed_store.OnStoreReturned([this](Duration ago) { copy.OnStoreReturned(ago); });
+  }
 
   Result<Success> Start() {
     struct Listening {
@@ -150,7 +167,7 @@
     }
     Result<Success> started = gossip.Start();
     if (IsOk(started)) {
-      copy.Start();
+      first_read_timer.StartOnce(kFirstReadDelay);
       Register();
       tick.StartRepeating(kTickInterval);
       logging::LogChange("process", "started",
@@ -162,6 +179,30 @@
     return started;
   }
 
+  // The store
+
+  void StartReading() {
+    if (!reading) {
+      reading = true;
+      first_read_timer.Stop();
+      copy.Start();
+    }
+  }
+
+  std::uint64_t NewestChangeKnown() const {
+    return std::max(relayed_store.NewestChange(environment.layout.configuration_table),
+                    relayed_store.NewestChange(environment.layout.workers_table));
+  }
+
+  void CheckNews() {
+    if (reading && NewestChangeKnown() < newest_change_heard) {
+      logging::LogDecision("store", "behind what a peer has told",
+                           {{"known", std::to_string(NewestChangeKnown())},
+                            {"heard", std::to_string(newest_change_heard)}});
+      relayed_store.AskStoreNow();
+    }
+  }
+
   // Registration
 
   /** Leaves the own gossip address in the store, then reads those of the others. */
@@ -245,18 +286,15 @@
                       false});
   }
 
-  void AnswerInternal(http::ServerExchange& exchange) {
-    const std::string& path = exchange.Request().path;
+  void AnswerInternal(const std::shared_ptr<http::ServerExchange>& exchange) {
+    const std::string& path = exchange->Request().path;
     if (http::PathOnly(path) == "/metrics") {
       UpdateGauges();
-      exchange.Respond({200, {{"content-type", "text/plain"}}, metrics.PrometheusText(), false});
-    } else if (http::PathOnly(path) == kPeerCopyPath) {
-      const std::string text = http::QueryParameter(path, "after").value_or("0");
-      std::uint64_t after = 0;
-      std::from_chars(text.data(), text.data() + text.size(), after);
-      exchange.Respond({200, {}, copy.ForPeer(after), false});
+      exchange->Respond({200, {{"content-type", "text/plain"}}, metrics.PrometheusText(), false});
+    } else if (http::PathOnly(path) == kRelayPath) {
+      relayed_store.Answer(exchange);
     } else {
-      exchange.Respond({404, {}, "", false});
+      exchange->Respond({404, {}, "", false});
     }
   }
 
@@ -284,13 +322,30 @@
     connection_limits.head_timeout = limits.header_timeout;
     connection_limits.idle_timeout = limits.idle_timeout;
     call_server.SetLimits(connection_limits);
-    gossip.SetOwnRevision(routes.Configuration().version);
     if (IsReady()) {
       gossip.SetOwnState(MemberState::kLive, "");
     }
   }
 
+  /**
+   * VMs that read the store tell all others at once of a change that has a time limit: a new
+   * configuration, or a worker that leaves. Other changes travel with the regular rounds.
+   */
+  void OnTableTaken(const std::string& table) override {
+    const bool has_limit =
+        table == environment.layout.configuration_table || std::exchange(worker_has_left, false);
+    if (has_limit && relayed_store.ReadsStore(table)) {
+      gossip.AnnounceOwnRevision(NewestChangeKnown());
+    } else {
+      gossip.SetOwnRevision(NewestChangeKnown());
+    }
+  }
+
   void OnWorkerEvent(const dispatch::WorkerEvent& event) override {
+    if (event.change == dispatch::WorkerChange::kLeaving ||
+        event.change == dispatch::WorkerChange::kRemoved) {
+      worker_has_left = true;
+    }
     if (event.change == dispatch::WorkerChange::kRestarted ||
         event.change == dispatch::WorkerChange::kRemoved) {
       links.Drop(event.record.id);
@@ -299,11 +354,40 @@
 
   // GossipObserver
 
-  void OnPeerHeard(const MemberRecord& /*peer*/, TimePoint /*observed_at*/) override {}
+  void OnPeerHeard(const MemberRecord& peer, TimePoint /*observed_at*/) override {
+    StartReading();
+    HearOfChange(peer.revision);
+  }
+
+  void OnFreshNotice(const membership::Notice& notice) override {
+    if (notice.kind == membership::NoticeKind::kContractRevision) {
+      HearOfChange(notice.value);
+    } else {
+      crashes.OnNotice(notice);
+    }
+  }
 
-  void OnFreshNotice(const membership::Notice& notice) override { crashes.OnNotice(notice); }
+  void HearOfChange(std::uint64_t change) {
+    if (change > newest_change_heard) {
+      newest_change_heard = change;
+      if (change > NewestChangeKnown()) {
+        news_timer.StartOnce(kNewsTime);
+      }
+    }
+  }
 
-  void OnMembersChanged() override { budgets.OnVmCount(gossip.Members().AllMembers().size() + 1); }
+  void OnMembersChanged() override {
+    std::vector<RelayPeer> peers;
+    for (const membership::Member* member : gossip.Members().HeardMembers(loop.Now())) {
+      if (member->record.zone == settings.zone && member->record.state != MemberState::kLeaving) {
+        peers.push_back({member->record.vm, member->record.endpoints.control_rpc});
+      }
+    }
+    relayed_store.SetPeers(peers);
+    const std::size_t vm_count = gossip.Members().AllMembers().size() + 1;
+    budgets.OnVmCount(vm_count);
+    gossip.SetVmCount(vm_count);
+  }
 
   void OnMemberHeard(const std::string& vm, bool heard) override {
     logging::LogChange("member", heard ? "heard" : "silent", {{"peer", vm}});
@@ -318,37 +402,12 @@
 
   void Tick() {
     copy.Tick();
-    AskPeer();
+    relayed_store.Tick();
     if (stopping_since.has_value()) {
       ContinueStop();
     }
   }
 
-  /** While the store is lost, asks a random peer for its copy. */
-  void AskPeer() {
-    const auto lost_since = copy.LostSince();
-    if (!lost_since.has_value() || loop.Now() - *lost_since < kAskPeersAfter ||
-        peer_fetch.IsBusy()) {
-      return;
-    }
-    const auto members = gossip.Members().HeardMembers(loop.Now());
-    if (members.empty()) {
-      return;
-    }
-    std::uniform_int_distribution<std::size_t> any(0, members.size() - 1);
-    peer_fetch.Start(members[any(random)]->record.endpoints.control_rpc, copy.Version());
-  }
-
-  void TakePeerCopy(const IpEndpoint& peer, const std::string& body) {
-    if (body.empty()) {
-      return;
-    }
-    const Result<Success> taken = copy.TakeFromPeer(ToString(peer), body);
-    if (!IsOk(taken)) {
-      logging::LogError("store", ErrorOf(taken));
-    }
-  }
-
   void BeginStop() {
     stopping_since = loop.Now();
     logging::LogChange("process", "stopping",
--- /dev/null
+++ b/libs/gateway/src/row_copy.cc
@@ -0,0 +1,103 @@
+#include "quetzalhinge/gateway/row_copy.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace qh::gateway {
+namespace {
+
+using nlohmann::json;
+
+/** Removals that are remembered; a peer that is further behind reads the whole table. */
+constexpr std::size_t kMaxRemoved = 256;
+
+}  // namespace
+
+void RowCopy::Take(const store::TableRows& rows, bool is_whole) {
+  if (is_whole) {
+    m_rows.clear();
+    m_removed.clear();
+    m_removals_known_since = rows.version;
+  }
+  for (const store::StoredRow& row : rows.rows) {
+    m_newest_change = std::max(m_newest_change, row.version);
+    if (row.removed) {
+      m_rows.erase(row.key);
+      m_removed[row.version] = row;
+    } else {
+      m_rows[row.key] = row;
+    }
+  }
+  while (m_removed.size() > kMaxRemoved) {
+    m_removals_known_since = std::max(m_removals_known_since, m_removed.begin()->first);
+    m_removed.erase(m_removed.begin());
+  }
+  m_version = std::max(m_version, rows.version);
+}
+
+store::TableRows RowCopy::All() const {
+  store::TableRows all;
+  all.version = m_version;
+  for (const auto& [key, row] : m_rows) {
+    all.rows.push_back(row);
+  }
+  return all;
+}
+
+std::optional<store::TableRows> RowCopy::ChangesSince(std::uint64_t after) const {
+  if (after < m_removals_known_since) {
+    return std::nullopt;
+  }
+  store::TableRows changes;
+  changes.version = m_version;
+  for (const auto& [key, row] : m_rows) {
+    if (row.version > after) {
+      changes.rows.push_back(row);
+    }
+  }
+  for (auto removed = m_removed.upper_bound(after); removed != m_removed.end(); ++removed) {
+    // The row may have come back since; its newer version is among the rows.
+    if (m_rows.count(removed->second.key) == 0) {
+      changes.rows.push_back(removed->second);
+    }
+  }
+  std::sort(changes.rows.begin(), changes.rows.end(),
+            [](const auto& a, const auto& b) { return a.version < b.version; });
+  return changes;
+}
+
+std::string EncodeRows(const RelayedRows& relayed) {
+  json list = json::array();
+  for (const store::StoredRow& row : relayed.rows.rows) {
+    list.push_back({row.key, row.value, row.version, row.removed});
+  }
+  json body = {{"version", relayed.rows.version},
+               {"age_ms", ToMillis(relayed.age)},
+               {"rows", std::move(list)}};
+  if (relayed.since_outage.has_value()) {
+    body["since_outage_ms"] = ToMillis(*relayed.since_outage);
+  }
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<RelayedRows> DecodeRows(const std::string& peer, const std::string& text) {
+  try {
+    const json body = json::parse(text);
+    RelayedRows relayed;
+    relayed.rows.version = body.at("version").get<std::uint64_t>();
+    relayed.age = std::chrono::milliseconds(body.at("age_ms").get<std::int64_t>());
+    if (body.contains("since_outage_ms")) {
+      relayed.since_outage =
+          std::chrono::milliseconds(body.at("since_outage_ms").get<std::int64_t>());
+    }
+    for (const json& row : body.at("rows")) {
+      relayed.rows.rows.push_back({row.at(0).get<std::string>(), row.at(1).get<std::string>(),
+                                   row.at(2).get<std::uint64_t>(), row.at(3).get<bool>()});
+    }
+    return relayed;
+  } catch (const std::exception& fault) {
+    return Error{ErrorCode::kProtocol, "read a peer's rows", peer, fault.what()};
+  }
+}
+
+}  // namespace qh::gateway
--- a/libs/gateway/src/store_copy.cc
+++ b/libs/gateway/src/store_copy.cc
@@ -1,9 +1,6 @@
 #include "quetzalhinge/gateway/store_copy.h"
 
 #include <algorithm>
-#include <array>
-#include <map>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "quetzalhinge/gateway/table_follower.h"
@@ -14,10 +11,6 @@
 
 using dispatch::WorkerEntry;
 using dispatch::WorkerEvent;
-using nlohmann::json;
-
-/** Outages shorter than this let no entry lapse. */
-constexpr std::chrono::milliseconds kShortOutage{300};
 
 /**
  * How long after the store's return entries that lapsed may be missing. They are back within about
@@ -25,30 +18,6 @@
  */
 constexpr double kRemovalDelayPart = 0.95;
 
-/** Rows of one table by key. */
-using RowMap = std::map<std::string, store::StoredRow>;
-
-json ToJson(const store::TableRows& rows) {
-  json list = json::array();
-  for (const store::StoredRow& row : rows.rows) {
-    list.push_back({row.key, row.value, row.version});
-  }
-  return {{"version", rows.version}, {"rows", std::move(list)}};
-}
-
-store::TableRows FromJson(const json& object) {
-  store::TableRows rows;
-  rows.version = object.at("version").get<std::uint64_t>();
-  for (const json& row : object.at("rows")) {
-    store::StoredRow stored;
-    stored.key = row.at(0).get<std::string>();
-    stored.value = row.at(1).get<std::string>();
-    stored.version = row.at(2).get<std::uint64_t>();
-    rows.rows.push_back(std::move(stored));
-  }
-  return rows;
-}
-
 }  // namespace
 
 struct StoreCopy::Impl : public TableFollowerObserver {
@@ -62,9 +31,6 @@
   metrics::Counter& unreadable;
   TableFollower configuration;
   TableFollower workers;
-  /** Raw rows, for peers. */
-  RowMap configuration_rows;
-  RowMap worker_rows;
 
   Impl(net::EventLoop& event_loop, RandomGenerator& random, metrics::MetricsRegistry& metrics,
        store::TableStore& store, const StoreLayout& store_layout,
@@ -84,12 +50,11 @@
 
   void OnRows(const std::string& table, const store::TableRows& rows, bool is_whole) override {
     if (table == layout.configuration_table) {
-      Keep(configuration_rows, rows, is_whole);
       TakeConfiguration(rows);
     } else {
-      Keep(worker_rows, rows, is_whole);
       TakeWorkers(rows, is_whole);
     }
+    observer.OnTableTaken(table);
   }
 
   void OnStoreLost(const std::string& table, const Error& error) override {
@@ -100,22 +65,6 @@
   void OnStoreBack(const std::string& table, Duration outage) override {
     logging::LogChange("store", "back",
                        {{"table", table}, {"outage_ms", std::to_string(ToMillis(outage))}});
-    if (table == layout.workers_table && outage > kShortOutage) {
-      registry.PutOffRemovals(loop.Now() + removal_delay);
-    }
-  }
-
-  static void Keep(RowMap& kept, const store::TableRows& rows, bool is_whole) {
-    if (is_whole) {
-      kept.clear();
-    }
-    for (const store::StoredRow& row : rows.rows) {
-      if (row.removed) {
-        kept.erase(row.key);
-      } else {
-        kept[row.key] = row;
-      }
-    }
   }
 
   void TakeConfiguration(const store::TableRows& rows) {
@@ -200,45 +149,9 @@
   return configuration.has_value() ? configuration : workers;
 }
 
-std::uint64_t StoreCopy::Version() const noexcept {
-  return std::min(m_impl->configuration.Version(), m_impl->workers.Version());
-}
-
-std::string StoreCopy::ForPeer(std::uint64_t after) const {
-  if (std::max(m_impl->configuration.Version(), m_impl->workers.Version()) <= after) {
-    return "";
-  }
-  const auto rows_of = [](const RowMap& kept, std::uint64_t version) {
-    store::TableRows rows;
-    rows.version = version;
-    for (const auto& [key, row] : kept) {
-      rows.rows.push_back(row);
-    }
-    return ToJson(rows);
-  };
-  const json body = {
-      {"configuration", rows_of(m_impl->configuration_rows, m_impl->configuration.Version())},
-      {"workers", rows_of(m_impl->worker_rows, m_impl->workers.Version())}};
-  return body.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
-Result<Success> StoreCopy::TakeFromPeer(const std::string& peer, const std::string& text) {
-  try {
-    const json body = json::parse(text);
-    const store::TableRows configuration = FromJson(body.at("configuration"));
-    const store::TableRows workers = FromJson(body.at("workers"));
-    const bool newer_configuration = m_impl->configuration.Offer(configuration);
-    const bool newer_workers = m_impl->workers.Offer(workers);
-    if (newer_configuration || newer_workers) {
-      logging::LogChange("store", "copy taken from a peer",
-                         {{"peer", peer},
-                          {"configuration_rows_version", std::to_string(configuration.version)},
-                          {"worker_rows_version", std::to_string(workers.version)}});
-    }
-    return Success{};
-  } catch (const std::exception& fault) {
-    return Error{ErrorCode::kProtocol, "read a peer's copy", peer, fault.what()};
-  }
+void StoreCopy::OnStoreReturned(Duration ago) {
+  logging::LogChange("store", "returned", {{"ago_ms", std::to_string(ToMillis(ago))}});
+  m_impl->registry.PutOffRemovals(m_impl->loop.Now() - ago + m_impl->removal_delay);
 }
 
 void StoreCopy::Tick() { m_impl->Report(m_impl->registry.Expire(m_impl->loop.Now())); }
--- a/libs/gateway/src/table_follower.cc
+++ b/libs/gateway/src/table_follower.cc
@@ -14,8 +14,8 @@
 /** How long one wait for changes lasts; the store allows 30 s. */
 constexpr milliseconds kWait{25000};
 
-/** Shortest time between two waits, so that many changes are taken together. */
-constexpr milliseconds kTogether{100};
+/** Pause between two waits, so that changes that come together are taken together. */
+constexpr milliseconds kTogether{20};
 
 /** Pause after a failure, doubled with each up to the longest. */
 constexpr milliseconds kFirstPause{100};
@@ -69,7 +69,7 @@
     NoteBack();
     must_read_whole = false;
     const store::TableRows& rows = ValueOf(result);
-    // A peer's copy may have come in between and be newer.
+    // A peer may be behind what another one has told.
     if (rows.version >= version) {
       version = rows.version;
       if (is_whole || !rows.rows.empty()) {
@@ -91,7 +91,7 @@
   void Fail(const Error& error) {
     if (error.code == ErrorCode::kConflict) {
       must_read_whole = true;
-      timer.StartOnce(milliseconds(1));
+      timer.StartOnce(kFirstPause);
       return;
     }
     if (!lost_since.has_value()) {
@@ -112,16 +112,6 @@
 
 void TableFollower::Start() { m_impl->Next(); }
 
-bool TableFollower::Offer(const store::TableRows& whole_table) {
-  if (whole_table.version <= m_impl->version) {
-    return false;
-  }
-  m_impl->version = whole_table.version;
-  m_impl->must_read_whole = false;
-  m_impl->observer.OnRows(m_impl->table, whole_table, true);
-  return true;
-}
-
 std::uint64_t TableFollower::Version() const noexcept { return m_impl->version; }
 
 std::optional<TimePoint> TableFollower::LostSince() const noexcept { return m_impl->lost_since; }
--- a/libs/gossip/src/gossip_task.cc
+++ b/libs/gossip/src/gossip_task.cc
@@ -183,6 +183,8 @@
   m_impl->table.SetSeeds(seeds);
 }
 
+void GossipTask::SetVmCount(std::size_t vm_count) { m_impl->table.SetVmCount(vm_count); }
+
 void GossipTask::SetOwnState(membership::MemberState state, const std::string& entry_incarnation) {
   const MemberRecord& self = m_impl->table.Self();
   if (self.state == state && self.entry_incarnation == entry_incarnation) {
--- a/libs/membership/include/quetzalhinge/membership/gossip_planner.h
+++ b/libs/membership/include/quetzalhinge/membership/gossip_planner.h
@@ -27,6 +27,11 @@
   std::size_t forward_peers = 3;
   /** Heartbeats of other members in one message, at most. */
   std::size_t max_heartbeats = kHeartbeatsPerMessage;
+  /**
+   * Part of the regular rounds that go to a member of the own zone, if one is heard from; the other
+   * rounds go to any peer. Bytes between zones cost more, and what matters most is near.
+   */
+  double own_zone_share = 0;
   /** Messages full of records that answer a member that knows few. */
   std::size_t join_reply_messages = 4;
 };
--- a/libs/membership/include/quetzalhinge/membership/member_table.h
+++ b/libs/membership/include/quetzalhinge/membership/member_table.h
@@ -67,6 +67,9 @@
   /** Sets the own zone, slot and endpoints. */
   void SetOwnEndpoints(const MemberEndpoints& endpoints);
 
+  /** Sets the number of entry VMs of the deployment, which scales SuspectAfter(). */
+  void SetVmCount(std::size_t vm_count) noexcept { m_options.vm_count = vm_count; }
+
   /** Records the newest contract revision that this VM has heard of; a lower one is ignored. */
   void SetOwnRevision(std::uint64_t revision) noexcept;
 
--- a/libs/membership/src/gossip_planner.cc
+++ b/libs/membership/src/gossip_planner.cc
@@ -117,6 +117,20 @@
 
 GossipPlanner::GossipPlanner(GossipOptions options) : m_options(options) {}
 
+namespace {
+
+std::vector<IpEndpoint> PeersOfOwnZone(const MemberTable& table, TimePoint now) {
+  std::vector<IpEndpoint> peers;
+  for (const Member* member : table.HeardMembers(now)) {
+    if (member->record.zone == table.Self().zone) {
+      peers.push_back(member->record.endpoints.gossip);
+    }
+  }
+  return peers;
+}
+
+}  // namespace
+
 std::optional<PlannedMessage> GossipPlanner::PlanRound(MemberTable& table, NoticeBoard& board,
                                                        TimePoint now, UnixMicros now_us,
                                                        RandomGenerator& random) const {
@@ -128,6 +142,10 @@
   }
   PlannedMessage planned;
   std::sample(peers.begin(), peers.end(), &planned.to, 1, random);
+  if (std::bernoulli_distribution(m_options.own_zone_share)(random)) {
+    const std::vector<IpEndpoint> near = PeersOfOwnZone(table, now);
+    std::sample(near.begin(), near.end(), &planned.to, 1, random);
+  }
   GossipMessage& message = planned.message;
   message.sender = table.Self();
   message.known_members = static_cast<std::uint16_t>(
