--- a/libs/gateway/include/quetzalhinge/gateway/relay_selector.h
+++ b/libs/gateway/include/quetzalhinge/gateway/relay_selector.h
@@ -38,8 +38,12 @@
   std::chrono::milliseconds stale_time{1000};
   /** How long a peer is left out that did not answer. */
   std::chrono::milliseconds silent_time{2000};
-  /** The first so many VMs of a zone read the store themselves when those before them cannot. */
-  std::size_t readers_in_outage = 3;
+  /**
+   * The first so many VMs of a zone read the store themselves when those before them cannot. The
+   * store may refuse a third of the VMs while it serves the others: with 8, all of them are refused
+   * once in some thousand times.
+   */
+  std::size_t readers_in_outage = 8;
 };
 
 /**
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -38,16 +38,27 @@
 /** Rows that were current longer ago than this are not passed on. */
 constexpr milliseconds kMaxRelayAge{3200};
 
-/** Peers that are asked for one reading, before it fails. */
-constexpr int kMaxPeersAsked = 3;
+/** Peers that are asked for one reading, before it fails; as many as read in an outage, and some.
+ */
+constexpr int kMaxPeersAsked = 10;
 
 /** A store that did not answer for less than this has let no entry lapse. */
 constexpr milliseconds kShortOutage{300};
 
+/** A failure longer ago than this says nothing about the store now. */
+constexpr milliseconds kFailureMemory{1500};
+
 /** How long after the store's return other VMs are told of it. */
 constexpr milliseconds kTellOutageFor{3000};
 
+/**
+ * Bytes of rows that are passed on. More would hold up a VM with a slow link that passes them to
+ * fifty others, while the store's link carries them to all at once.
+ */
+constexpr std::size_t kMaxRelayedBytes = 32 * 1024;
+
 constexpr int kOk = 200;
+constexpr int kTooLarge = 413;
 constexpr int kGone = 410;
 constexpr int kNotFresh = 503;
 
@@ -96,6 +107,9 @@
   std::vector<Waiter> waiters;
   /** When the first call began that the store has not answered since. */
   std::optional<TimePoint> store_failing_since;
+  TimePoint store_failed_at{};
+  /** The table whose reading failed first; the others wait until it succeeds. */
+  std::string scout;
   std::optional<TimePoint> store_back_at;
   std::function<void(Duration)> on_store_returned;
 
@@ -133,18 +147,20 @@
         }
         [[fallthrough]];
       case RelayChoice::Source::kNobody:
-        // Posted, because callers expect their callback after the call has returned.
-        loop.Post([weak = weak_from_this(), table, reading] {
-          if (const auto self = weak.lock()) {
-            self->Finish(table, reading,
-                         Error{ErrorCode::kUnavailable, "read rows", "",
-                               "no VM of the zone reaches the store"});
-          }
-        });
+        FailLater(table, reading, "no VM of the zone reaches the store");
         return;
     }
   }
 
+  /** Posted, because callers expect their callback after the call has returned. */
+  void FailLater(const std::string& table, std::uint64_t reading, const char* detail) {
+    loop.Post([weak = weak_from_this(), table, reading, detail] {
+      if (const auto self = weak.lock()) {
+        self->Finish(table, reading, Error{ErrorCode::kUnavailable, "read rows", "", detail});
+      }
+    });
+  }
+
   void NoteSource(const std::string& table, const RelayChoice& choice) {
     std::string source = choice.source == RelayChoice::Source::kPeer    ? choice.peer.vm
                          : choice.source == RelayChoice::Source::kStore ? "store"
@@ -167,6 +183,11 @@
     if (reading != tables[table].reading) {
       return;
     }
+    ForgetOldFailure();
+    if (store_failing_since.has_value() && table != scout) {
+      FailLater(table, reading, "the store did not answer for another table");
+      return;
+    }
     store_reads.Add();
     const bool is_whole = !after.has_value();
     auto take = [weak = weak_from_this(), table, reading, is_whole,
@@ -185,24 +206,37 @@
   /** Runs `task` at `time`, as long as this object exists. */
   void Later(TimePoint time, std::function<void()> task) {
     auto timer = std::make_shared<std::unique_ptr<net::Timer>>();
-    *timer = std::make_unique<net::Timer>(
-        loop, [weak = weak_from_this(), timer, task = std::move(task)] {
-          // The timer holds this function; both go when the posted task has run.
-          const auto self = weak.lock();
-          if (self != nullptr) {
-            self->loop.Post([timer] { timer->reset(); });
-            task();
-          }
-        });
+    *timer = std::make_unique<net::Timer>(loop,
+                                          [weak = weak_from_this(), timer, task = std::move(task)] {
+                                            // The timer holds this function; both go when the
+                                            // posted task has run.
+                                            const auto self = weak.lock();
+                                            if (self != nullptr) {
+                                              self->loop.Post([timer] { timer->reset(); });
+                                              task();
+                                            }
+                                          });
     (*timer)->StartOnce(std::chrono::ceil<milliseconds>(time - loop.Now()));
   }
 
+  /** This VM may have read from peers since, and know nothing of the store. */
+  void ForgetOldFailure() {
+    if (store_failing_since.has_value() && loop.Now() - store_failed_at > kFailureMemory) {
+      store_failing_since.reset();
+    }
+  }
+
   void OnStoreAnswered(const std::string& table, std::uint64_t reading, bool is_whole,
                        TimePoint asked_at, const Result<store::TableRows>& result) {
     if (IsOk(result) || ErrorOf(result).code == ErrorCode::kConflict) {
       NoteStoreAnswers();
     } else {
-      store_failing_since = store_failing_since.value_or(asked_at);
+      ForgetOldFailure();
+      store_failed_at = loop.Now();
+      if (!store_failing_since.has_value()) {
+        store_failing_since = asked_at;
+        scout = table;
+      }
       selector.OnStale(own_vm, loop.Now());
       tables[table].fresh_at.reset();
       TurnWaitersAway(table);
@@ -299,6 +333,11 @@
       Finish(table, reading, Error{ErrorCode::kConflict, "read rows", peer.vm, "history is gone"});
       return;
     }
+    if (response->status == kTooLarge) {
+      selector.OnAnswered(peer.vm);
+      AskStore(table, after, reading);
+      return;
+    }
     auto relayed = response->status == kOk
                        ? DecodeRows(peer.vm, response->body)
                        : Result<RelayedRows>(
@@ -351,6 +390,14 @@
 
   void AnswerWith(http::ServerExchange& exchange, const Table& state,
                   const store::TableRows& rows) const {
+    std::size_t bytes = 0;
+    for (const store::StoredRow& row : rows.rows) {
+      bytes += row.value.size();
+    }
+    if (bytes > kMaxRelayedBytes) {
+      exchange.Respond({kTooLarge, {}, "", false});
+      return;
+    }
     RelayedRows relayed{rows, loop.Now() - *state.fresh_at, std::nullopt};
     if (store_back_at.has_value() && loop.Now() - *store_back_at < kTellOutageFor) {
       relayed.since_outage = loop.Now() - *store_back_at;
