--- a/libs/gateway/src/call_task.cc
+++ b/libs/gateway/src/call_task.cc
@@ -338,6 +338,7 @@
   if (m_finished) {
     return;
   }
+  m_deadline_passed = true;
   if (HasAttemptInProgress()) {
     m_may_have_run = true;
   }
@@ -371,19 +372,19 @@
   if (m_failure_response.has_value()) {
     AnswerWorkerResponse(*m_failure_response, reason);
   } else if (m_may_have_run) {
-    const bool is_late = TimeLeft() <= Duration(0);
-    Finish(
-        http::HttpResponse{
-            is_late ? 504 : 502, {{m_context.headers.request_id, m_terms.request_id}}, "", false},
-        reason);
+    Finish(http::HttpResponse{m_deadline_passed ? 504 : 502,
+                              {{m_context.headers.request_id, m_terms.request_id}},
+                              "",
+                              false},
+           reason);
   } else {
-    Refuse(503, reason);
+    Refuse(reason);
   }
 }
 
-void CallTask::Refuse(int status, const char* reason) {
+void CallTask::Refuse(const char* reason) {
   std::uniform_int_distribution<int> wait(kFirstRetryAfterMs, kLastRetryAfterMs);
-  Finish(http::HttpResponse{status,
+  Finish(http::HttpResponse{503,
                             {{m_context.headers.request_id, m_terms.request_id},
                              {"retry-after", FormatSeconds(wait(m_context.random))}},
                             "",
--- a/libs/gateway/src/call_task.h
+++ b/libs/gateway/src/call_task.h
@@ -62,7 +62,7 @@
   void OnCallerGone();
   void AnswerWorkerResponse(const http::HttpResponse& response, const char* reason);
   void AnswerFailure(const char* reason);
-  void Refuse(int status, const char* reason);
+  void Refuse(const char* reason);
   void Finish(const http::HttpResponse& response, const char* reason);
   void CancelAttempts();
   bool HasAttemptInProgress() const;
@@ -83,6 +83,7 @@
   /** The present pick is for a second opinion: only a fast and free worker will do. */
   bool m_picking_second_opinion = false;
   bool m_may_have_run = false;
+  bool m_deadline_passed = false;
   bool m_finished = false;
   net::Timer m_pick_timer;
   net::Timer m_deadline_timer;
--- /dev/null
+++ b/libs/gateway/test/test_calls.cc
@@ -0,0 +1,416 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "quetzalhinge/gateway/call_service.h"
+#include "quetzalhinge/net/tcp_connection.h"
+#include "quetzalhinge/net/tcp_listener.h"
+#include "quetzalhinge/net/timer.h"
+
+using namespace qh;
+using namespace qh::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+CallHeaders Names() {
+  return {"x-id", "x-left", "x-signature", "x-expect", "x-worker", "x-load", "x-not-run"};
+}
+
+/** Reads loads of the form "<running>,<waiting>,<slots>,<percent>". */
+class TestDecoder : public RecordDecoder {
+ public:
+  Result<routes::ServiceConfiguration> DecodeConfiguration(
+      const std::string& /*bytes*/) const override {
+    return Error{};
+  }
+  Result<dispatch::WorkerRecord> DecodeWorker(const std::string& /*id*/,
+                                              const std::string& /*bytes*/) const override {
+    return Error{};
+  }
+  std::optional<dispatch::LoadReport> DecodeLoad(std::string_view value) const override {
+    dispatch::LoadReport report;
+    int percent = 100;
+    if (std::sscanf(std::string(value).c_str(), "%d,%d,%d,%d", &report.running, &report.waiting,
+                    &report.slots, &percent) != 4) {
+      return std::nullopt;
+    }
+    report.slowdown = percent / 100.0;
+    return report;
+  }
+};
+
+/** What a worker does with a request. */
+enum class Behaviour { kServe, kFail, kShed, kShedWithoutWord, kBreakOff, kNeverAnswer, kCrash };
+
+/** A worker on a socket of its own. */
+class TestWorker : public net::TcpObserver {
+ public:
+  TestWorker(net::EventLoop& loop, std::string id)
+      : m_id(std::move(id)),
+        m_listener(std::make_unique<net::TcpListener>(loop, [this, &loop](uv_stream_s* stream) {
+          m_connections.push_back(std::make_unique<Connection>(*this, loop, stream));
+        })) {
+    REQUIRE(IsOk(m_listener->Listen({"127.0.0.1", 0})));
+    m_endpoint = m_listener->LocalEndpoint();
+  }
+
+  dispatch::WorkerRecord Record() const {
+    dispatch::WorkerRecord record;
+    record.id = m_id;
+    record.service = "katalog";
+    record.address = m_endpoint;
+    record.zone = "here";
+    record.slots = 6;
+    record.sequence = 1;
+    return record;
+  }
+
+  Behaviour behaviour = Behaviour::kServe;
+  std::string load = "0,0,6,100";
+  /** Requests that were begun, without probes. */
+  std::vector<http::HttpRequest> run;
+  int left_connections = 0;
+
+  void OnBytes(std::string_view /*bytes*/) override {}
+  void OnEnd(net::TcpEnd /*end*/, const Error& /*error*/) override {}
+
+ private:
+  struct Connection : net::TcpObserver {
+    TestWorker& worker;
+    http::MessageReader reader{http::MessageKind::kRequest, {}};
+    std::unique_ptr<net::TcpConnection> tcp;
+
+    Connection(TestWorker& owner, net::EventLoop& loop, uv_stream_s* stream)
+        : worker(owner), tcp(std::make_unique<net::TcpConnection>(loop, stream, *this)) {}
+
+    void OnBytes(std::string_view bytes) override {
+      reader.Read(bytes);
+      if (reader.IsComplete()) {
+        const http::HttpRequest request = reader.Request();
+        reader.Restart();
+        worker.Handle(*this, request);
+      }
+    }
+    void OnEnd(net::TcpEnd /*end*/, const Error& /*error*/) override {
+      ++worker.left_connections;
+      tcp.reset();
+    }
+    void Send(int status, const std::string& id, const std::string& extra,
+              const std::string& body) {
+      tcp->Write("HTTP/1.1 " + std::to_string(status) + " x\r\nx-worker: " + worker.m_id +
+                 "\r\nx-load: " + worker.load + "\r\nx-id: " + id + "\r\n" + extra +
+                 "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+  };
+
+  void Handle(Connection& connection, const http::HttpRequest& request) {
+    if (request.path == "/health") {
+      connection.Send(200, "", "", "");
+      return;
+    }
+    const std::string id(http::FindHeader(request.headers, "x-id").value_or(""));
+    if (behaviour == Behaviour::kShed) {
+      connection.Send(503, id, "x-not-run: 1\r\n", "");
+      return;
+    }
+    run.push_back(request);
+    switch (behaviour) {
+      case Behaviour::kServe:
+        connection.Send(200, id, "x-signature: s\r\n", "from " + m_id);
+        break;
+      case Behaviour::kFail:
+        connection.Send(500, id, "x-signature: s\r\n", "failed");
+        break;
+      case Behaviour::kShedWithoutWord:
+        connection.Send(503, id, "", "");
+        break;
+      case Behaviour::kBreakOff:
+        connection.tcp.reset();
+        break;
+      case Behaviour::kCrash:
+        m_listener.reset();
+        for (const auto& open : m_connections) {
+          open->tcp.reset();
+        }
+        break;
+      case Behaviour::kShed:
+      case Behaviour::kNeverAnswer:
+        break;
+    }
+  }
+
+  std::string m_id;
+  std::unique_ptr<net::TcpListener> m_listener;
+  IpEndpoint m_endpoint;
+  std::vector<std::unique_ptr<Connection>> m_connections;
+};
+
+/** A gateway's request path with two workers and one caller. */
+struct Fixture {
+  net::EventLoop loop;
+  RandomGenerator random{20261204};
+  metrics::MetricsRegistry metrics;
+  CallHeaders headers = Names();
+  TestDecoder decoder;
+  routes::RouteTable routes;
+  dispatch::WorkerRegistry registry;
+  dispatch::WorkerPicker picker;
+  WorkerLinks links{loop, metrics, headers, decoder, registry, routes};
+  std::vector<membership::Notice> notices;
+  CrashWatch crashes{loop, links,
+                     [this](const membership::Notice& notice) { notices.push_back(notice); }};
+  RetryBudgets budgets{{1.0, 1000}};
+  CallContext context{"here",   loop,   random, metrics, headers, routes,
+                      registry, picker, links,  crashes, budgets};
+  CallService service{context};
+  http::ConnectionServer server{
+      loop, {}, [this](auto exchange) { service.Handle(std::move(exchange)); }};
+  TestWorker first{loop, "w-1"};
+  TestWorker second{loop, "w-2"};
+  std::unique_ptr<http::ClientConnection> caller;
+
+  Fixture() {
+    REQUIRE(IsOk(server.Listen({"127.0.0.1", 0})));
+    NewCaller();
+  }
+
+  void NewCaller() {
+    caller = std::make_unique<http::ClientConnection>(loop, server.LocalEndpoint(),
+                                                      http::ClientConnectionOptions{});
+  }
+
+  void Configure(routes::RouteKind kind, std::chrono::milliseconds timeout = 20s) {
+    routes::ServiceConfiguration configuration;
+    configuration.version = 1;
+    configuration.services = {{"katalog", "/health", 220}};
+    routes::Route route;
+    route.name = "r";
+    route.host = "shop.example";
+    route.prefix = "/a/";
+    route.kind = kind;
+    route.timeout = timeout;
+    route.target_latency = 10s;
+    route.max_attempts = 2;
+    route.targets = {{"katalog", 1}};
+    configuration.routes = {route};
+    REQUIRE(routes.Apply(configuration));
+    // A budget starts empty; these requests earn the repeats that the stories need.
+    for (int i = 0; i < 4; ++i) {
+      budgets.OnFirstAttempt("katalog");
+    }
+    registry.Apply({{"w-1", first.Record()}, {"w-2", second.Record()}}, loop.Now());
+  }
+
+  void RunUntil(const std::function<bool()>& done) {
+    const TimePoint limit = loop.Now() + 30s;
+    while (!done() && loop.Now() < limit) {
+      loop.RunOnce(10ms);
+    }
+    REQUIRE(done());
+  }
+
+  http::ClientRequest Request(const std::string& path = "/a/b?c=d") const {
+    http::ClientRequest request;
+    request.request = {
+        "POST", path, {{"x-id", "id-1"}, {"x-left", "15000"}, {"x-other", "y"}}, "body"};
+    request.host = "shop.example";
+    request.timeout = 25s;
+    return request;
+  }
+
+  http::HttpResponse Call(const std::string& path = "/a/b?c=d") {
+    std::optional<http::HttpCallResult> result;
+    caller->Start(Request(path), [&](http::HttpCallResult value) { result = std::move(value); });
+    RunUntil([&] { return result.has_value(); });
+    REQUIRE(std::holds_alternative<http::HttpResponse>(*result));
+    return std::get<http::HttpResponse>(*result);
+  }
+
+  void Behave(Behaviour behaviour) {
+    first.behaviour = behaviour;
+    second.behaviour = behaviour;
+  }
+
+  std::size_t Runs() const { return first.run.size() + second.run.size(); }
+};
+
+}  // namespace
+
+SCENARIO("A request reaches a worker unchanged, and its response the caller") {
+  Fixture fixture;
+  GIVEN("no configuration yet") {
+    const http::HttpResponse response = fixture.Call();
+    THEN("the caller may come back: nothing is known to be missing") {
+      CHECK(response.status == 503);
+      CHECK(http::FindHeader(response.headers, "retry-after").has_value());
+    }
+  }
+  GIVEN("a configuration") {
+    fixture.Configure(routes::RouteKind::kSafe);
+    WHEN("a worker serves") {
+      const http::HttpResponse response = fixture.Call();
+      CHECK(response.status == 200);
+      CHECK(http::FindHeader(response.headers, "x-signature") == "s");
+      CHECK_FALSE(http::FindHeader(response.headers, "x-load").has_value());
+      REQUIRE(fixture.Runs() == 1);
+      const auto& run = fixture.first.run.empty() ? fixture.second.run[0] : fixture.first.run[0];
+      THEN("it got method, path, body and headers, and terms of its own") {
+        CHECK(run.method == "POST");
+        CHECK(run.path == "/a/b?c=d");
+        CHECK(run.body == "body");
+        CHECK(http::FindHeader(run.headers, "host") == "shop.example");
+        CHECK(http::FindHeader(run.headers, "x-other") == "y");
+        CHECK(http::CountHeaders(run.headers, "x-left") == 1);
+        const std::string left(*http::FindHeader(run.headers, "x-left"));
+        CHECK(std::stoi(left) <= 15000);
+        CHECK(http::FindHeader(run.headers, "x-expect").has_value());
+      }
+    }
+    WHEN("no route fits") {
+      THEN("it does not exist") { CHECK(fixture.Call("/b/").status == 404); }
+    }
+    WHEN("one worker's machine is slow now") {
+      fixture.first.load = "0,0,6,700";
+      for (int i = 0; i < 8; ++i) {
+        CHECK(fixture.Call().body == "from w-2");
+      }
+      THEN("it gets nothing") { CHECK(fixture.first.run.empty()); }
+    }
+    WHEN("one worker is full") {
+      fixture.second.load = "6,3,6,100";
+      for (int i = 0; i < 8; ++i) {
+        CHECK(fixture.Call().body == "from w-1");
+      }
+    }
+    WHEN("the process is about to stop") {
+      fixture.service.RefuseNew();
+      THEN("new requests are refused, truly") {
+        CHECK(fixture.Call().status == 503);
+        CHECK(fixture.Runs() == 0);
+      }
+    }
+  }
+}
+
+SCENARIO("Work that must not repeat runs once") {
+  Fixture fixture;
+  fixture.Configure(routes::RouteKind::kUnsafe);
+  WHEN("the answer is lost") {
+    fixture.Behave(Behaviour::kBreakOff);
+    const http::HttpResponse response = fixture.Call();
+    THEN("it is not sent again, and the answer promises nothing") {
+      CHECK(response.status == 502);
+      CHECK(fixture.Runs() == 1);
+    }
+  }
+  WHEN("a worker says that it did not run it") {
+    fixture.first.behaviour = Behaviour::kShed;
+    THEN("the other one may") {
+      for (int i = 0; i < 4; ++i) {
+        CHECK(fixture.Call().status == 200);
+      }
+    }
+  }
+  WHEN("all workers say that they did not run it") {
+    fixture.Behave(Behaviour::kShed);
+    const http::HttpResponse response = fixture.Call();
+    THEN("the refusal is true and tells when to come back") {
+      CHECK(response.status == 503);
+      CHECK(http::FindHeader(response.headers, "retry-after").has_value());
+      CHECK(fixture.Runs() == 0);
+    }
+  }
+  WHEN("a worker answers 503 without saying that it did not run it") {
+    fixture.Behave(Behaviour::kShedWithoutWord);
+    const http::HttpResponse response = fixture.Call();
+    THEN("the caller gets no promise") {
+      CHECK(response.status == 502);
+      CHECK(fixture.Runs() == 1);
+    }
+  }
+  WHEN("a worker fails") {
+    fixture.Behave(Behaviour::kFail);
+    const http::HttpResponse response = fixture.Call();
+    THEN("its failure is passed on as it is") {
+      CHECK(response.status == 500);
+      CHECK(response.body == "failed");
+      CHECK(fixture.Runs() == 1);
+    }
+  }
+}
+
+SCENARIO("Work that may repeat is tried again") {
+  Fixture fixture;
+  fixture.Configure(routes::RouteKind::kSafe);
+  WHEN("one worker loses its answers") {
+    fixture.first.behaviour = Behaviour::kBreakOff;
+    THEN("the other one serves") {
+      for (int i = 0; i < 6; ++i) {
+        CHECK(fixture.Call().status == 200);
+      }
+    }
+  }
+  WHEN("both fail") {
+    fixture.Behave(Behaviour::kFail);
+    const http::HttpResponse response = fixture.Call();
+    THEN("it is sent to no more workers than the route allows") {
+      CHECK(response.status == 500);
+      CHECK(fixture.Runs() == 2);
+    }
+  }
+}
+
+SCENARIO("Nobody works for a caller who has left, or past the deadline") {
+  Fixture fixture;
+  WHEN("the caller leaves") {
+    fixture.Configure(routes::RouteKind::kSafe);
+    fixture.Behave(Behaviour::kNeverAnswer);
+    fixture.caller->Start(fixture.Request(), [](const http::HttpCallResult&) {});
+    fixture.RunUntil([&] { return fixture.Runs() == 1; });
+    fixture.caller.reset();
+    THEN("the worker's connection is closed") {
+      fixture.RunUntil(
+          [&] { return fixture.first.left_connections + fixture.second.left_connections > 0; });
+      CHECK(fixture.server.InProgress() == 0);
+    }
+  }
+  WHEN("the route's time is over") {
+    fixture.Configure(routes::RouteKind::kUnsafe, 300ms);
+    fixture.Behave(Behaviour::kNeverAnswer);
+    const http::HttpResponse response = fixture.Call();
+    THEN("the answer promises nothing and the worker is told to stop") {
+      CHECK(response.status == 504);
+      fixture.RunUntil(
+          [&] { return fixture.first.left_connections + fixture.second.left_connections > 0; });
+    }
+  }
+}
+
+SCENARIO("A request that crashes workers is kept from running") {
+  Fixture fixture;
+  fixture.Configure(routes::RouteKind::kSafe);
+  fixture.Behave(Behaviour::kCrash);
+  const http::HttpResponse first = fixture.Call();
+  CHECK(first.status == 502);
+  CHECK(fixture.Runs() == 2);
+  fixture.RunUntil([&] {
+    return std::any_of(fixture.notices.begin(), fixture.notices.end(), [](const auto& notice) {
+      return notice.kind == membership::NoticeKind::kQuarantinedFingerprint;
+    });
+  });
+  THEN("it is refused before it reaches a worker, and the other VMs are told") {
+    fixture.NewCaller();
+    CHECK(fixture.Call().status == 503);
+    CHECK(fixture.Runs() == 2);
+  }
+  THEN("another request is not blamed") {
+    fixture.NewCaller();
+    CHECK(fixture.Call("/a/other").status == 503);
+    CHECK_FALSE(fixture.notices.empty());
+  }
+}
--- /dev/null
+++ b/libs/gateway/test/test_decisions.cc
@@ -0,0 +1,107 @@
+#include <catch2/catch.hpp>
+#include <deque>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "quetzalhinge/gateway/attempt_verdict.h"
+#include "quetzalhinge/gateway/gateway_settings.h"
+#include "quetzalhinge/gateway/retry_budgets.h"
+
+using namespace qh;
+using namespace qh::gateway;
+
+namespace {
+
+CallHeaders Names() {
+  return {"x-id", "x-left", "x-signature", "x-expect", "x-worker", "x-load", "x-not-run"};
+}
+
+AttemptVerdict Judge(int status, const http::HttpHeaders& headers) {
+  return JudgeResponse({status, headers, "", false}, Names());
+}
+
+}  // namespace
+
+SCENARIO("A response is judged by what it proves") {
+  const http::HttpHeader signature{"x-signature", "s"};
+  const http::HttpHeader not_run{"x-not-run", "1"};
+  CHECK(Judge(200, {signature}) == AttemptVerdict::kServed);
+  CHECK(Judge(200, {}) == AttemptVerdict::kMayHaveRun);
+  CHECK(Judge(200, {signature, {"content-encoding", "gzip"}}) == AttemptVerdict::kMayHaveRun);
+  CHECK(Judge(500, {signature}) == AttemptVerdict::kFailed);
+  CHECK(Judge(404, {signature}) == AttemptVerdict::kFailed);
+  CHECK(Judge(503, {not_run}) == AttemptVerdict::kNotRun);
+  CHECK(Judge(421, {}) == AttemptVerdict::kNotRun);
+
+  SECTION("a status that promises 'not run' is no proof without the worker's word") {
+    for (const int status : {408, 429, 503}) {
+      CHECK(PromisesNotRun(status));
+      CHECK(Judge(status, {signature}) == AttemptVerdict::kMayHaveRun);
+    }
+  }
+  SECTION("only a request that was never sent has not run for certain") {
+    http::HttpCallFailure failure;
+    failure.stage = http::CallStage::kNotConnected;
+    CHECK(JudgeFailure(failure) == AttemptVerdict::kNotRun);
+    failure.stage = http::CallStage::kSent;
+    CHECK(JudgeFailure(failure) == AttemptVerdict::kMayHaveRun);
+    failure.stage = http::CallStage::kResponseStarted;
+    CHECK(JudgeFailure(failure) == AttemptVerdict::kMayHaveRun);
+  }
+}
+
+SCENARIO("The retry budgets of all VMs together keep the bound in every window") {
+  // Pattern: quiet seconds in which every VM saves up, then all requests fail at once.
+  constexpr int kVms = 15;
+  constexpr int kSlack = 58;
+  constexpr double kShare = 0.2;
+  constexpr int kWindowSeconds = 10;
+  std::vector<RetryBudgets> vms(kVms, RetryBudgets({kShare, kSlack}));
+  for (RetryBudgets& vm : vms) {
+    vm.OnVmCount(kVms);
+  }
+  std::mt19937 random(20261204);
+  std::deque<std::pair<int, int>> window;  // requests and repeats of each second
+  int requests = 0;
+  int repeats = 0;
+  for (int second = 0; second < 120; ++second) {
+    const bool failing = second % 30 >= 20;
+    const int rate = second % 30 < 15 ? 5 : 150;
+    int sent = 0;
+    int repeated = 0;
+    for (int i = 0; i < rate; ++i) {
+      RetryBudgets& vm = vms[random() % kVms];
+      vm.OnFirstAttempt("katalog");
+      ++sent;
+      repeated += failing && vm.TryTake("katalog") ? 1 : 0;
+    }
+    window.emplace_back(sent, repeated);
+    requests += sent;
+    repeats += repeated;
+    if (window.size() > kWindowSeconds) {
+      requests -= window.front().first;
+      repeats -= window.front().second;
+      window.pop_front();
+    }
+    CHECK(repeats <= kShare * requests + kSlack);
+  }
+}
+
+SCENARIO("Settings are checked in full before anything starts") {
+  const std::string good =
+      "[vm]\nname = vm-1\nzone = z\nregion = r\n"
+      "[listen]\ncallers = 127.0.0.1:1\nready = 127.0.0.1:2\naddresses = 127.0.0.1:3\n"
+      "internal_ip = 127.0.0.1\ninternal_port = 4\n"
+      "[store]\nendpoint = 127.0.0.1:5\n"
+      "[gossip]\ndeployment_key = 0123456789abcdef\n";
+  const auto problems = [](const std::string& text) {
+    return ParseGatewaySettings(settings::ParseIni("vm.ini", text)).problems.size();
+  };
+  CHECK(problems(good) == 0);
+  CHECK(problems(good + "[stop]\ngrace = 2.5s\n") == 0);
+  CHECK(problems(good + "[stop]\ngrace = 6\n") == 1);
+  CHECK(problems(good + "[retries]\nshare = 1.5\nslak = 3\n") == 2);
+  CHECK(problems("[vm]\nname = vm-1\n") > 5);
+  CHECK(problems(good + "[gossip2]\n") == 1);
+}
--- /dev/null
+++ b/libs/gateway/test/test_relay.cc
@@ -0,0 +1,362 @@
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "quetzalhinge/gateway/relay_selector.h"
+#include "quetzalhinge/gateway/relayed_store.h"
+#include "quetzalhinge/gateway/row_copy.h"
+
+using namespace qh;
+using namespace qh::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart = TimePoint(1h);
+
+store::StoredRow MakeRow(const std::string& key, std::uint64_t version,
+                         const std::string& value = "value") {
+  return {key, value, version, false};
+}
+
+store::StoredRow MakeRemoval(const std::string& key, std::uint64_t version) {
+  return {key, "", version, true};
+}
+
+/** A store in memory whose waits end when a row changes, and that can refuse. */
+class FakeStore : public store::TableStore {
+ public:
+  explicit FakeStore(net::EventLoop& loop) : m_loop(loop) {}
+
+  void Put(const std::string& key, const std::string& value) {
+    ++m_version;
+    m_rows[key] = {key, value, m_version, false};
+    AnswerWaits();
+  }
+  void Refuse(bool refuse) {
+    m_refuse = refuse;
+    if (refuse) {
+      AnswerWaits();
+    }
+  }
+  int Reads() const { return m_reads; }
+
+  void ReadTable(const std::string& /*table*/, Callback<store::TableRows> callback) override {
+    ++m_reads;
+    Post(std::move(callback), 0);
+  }
+  void AwaitChanges(const std::string& /*table*/, std::uint64_t after,
+                    std::chrono::milliseconds /*wait*/,
+                    Callback<store::TableRows> callback) override {
+    ++m_reads;
+    if (m_refuse || m_version > after) {
+      Post(std::move(callback), after);
+    } else {
+      m_waits.emplace_back(after, std::move(callback));
+    }
+  }
+  void WriteRow(const std::string& /*table*/, const std::string& key, const std::string& value,
+                Callback<Success> callback) override {
+    Put(key, value);
+    m_loop.Post([callback = std::move(callback)] { callback(Success{}); });
+  }
+
+ private:
+  void Post(Callback<store::TableRows> callback, std::uint64_t after) {
+    m_loop.Post([this, callback = std::move(callback), after] {
+      if (m_refuse) {
+        callback(Error{ErrorCode::kUnavailable, "read", "fake", "refused"});
+        return;
+      }
+      store::TableRows rows;
+      rows.version = m_version;
+      for (const auto& [key, row] : m_rows) {
+        if (row.version > after) {
+          rows.rows.push_back(row);
+        }
+      }
+      callback(rows);
+    });
+  }
+  void AnswerWaits() {
+    for (auto& [after, callback] : std::exchange(m_waits, {})) {
+      Post(std::move(callback), after);
+    }
+  }
+
+  net::EventLoop& m_loop;
+  std::map<std::string, store::StoredRow> m_rows;
+  std::vector<std::pair<std::uint64_t, Callback<store::TableRows>>> m_waits;
+  std::uint64_t m_version = 0;
+  bool m_refuse = false;
+  int m_reads = 0;
+};
+
+/** One VM: its relayed store, and the server at which peers ask it. */
+struct RelayVm {
+  metrics::MetricsRegistry metrics;
+  RelayedStore store;
+  http::ConnectionServer server;
+
+  RelayVm(net::EventLoop& loop, store::TableStore& direct, const std::string& name)
+      : store(loop, metrics, direct, name),
+        server(loop, {}, [this](auto exchange) { store.Answer(std::move(exchange)); }) {
+    REQUIRE(IsOk(server.Listen({"127.0.0.1", 0})));
+  }
+};
+
+void RunUntil(net::EventLoop& loop, const std::vector<RelayVm*>& vms,
+              const std::function<bool()>& done) {
+  const TimePoint limit = loop.Now() + 30s;
+  while (!done() && loop.Now() < limit) {
+    for (RelayVm* vm : vms) {
+      vm->store.Tick();
+    }
+    loop.RunOnce(10ms);
+  }
+  REQUIRE(done());
+}
+
+/** Reads the table or waits for changes until there is a result. */
+Result<store::TableRows> Read(net::EventLoop& loop, const std::vector<RelayVm*>& vms, RelayVm& vm,
+                              std::optional<std::uint64_t> after) {
+  std::optional<Result<store::TableRows>> result;
+  const auto take = [&](Result<store::TableRows> value) { result = std::move(value); };
+  if (after.has_value()) {
+    vm.store.AwaitChanges("workers", *after, 1s, take);
+  } else {
+    vm.store.ReadTable("workers", take);
+  }
+  RunUntil(loop, vms, [&] { return result.has_value(); });
+  return *result;
+}
+
+}  // namespace
+
+SCENARIO("The VMs of a zone agree on who reads the store without talking about it") {
+  const std::vector<RelayPeer> others{{"vm-2", {"127.0.0.1", 2}}, {"vm-3", {"127.0.0.1", 3}}};
+
+  GIVEN("a VM that knows no other") {
+    const RelaySelector alone("vm-1");
+    THEN("it reads the store") {
+      CHECK(alone.Choose(kStart).source == RelayChoice::Source::kStore);
+    }
+  }
+  GIVEN("three VMs that know each other") {
+    std::map<std::string, RelayChoice> choices;
+    for (const char* name : {"vm-1", "vm-2", "vm-3"}) {
+      std::vector<RelayPeer> peers;
+      for (const char* peer : {"vm-1", "vm-2", "vm-3"}) {
+        if (std::string(peer) != name) {
+          peers.push_back({peer, {"127.0.0.1", 1}});
+        }
+      }
+      RelaySelector selector(name);
+      selector.SetPeers(peers);
+      choices[name] = selector.Choose(kStart);
+    }
+    THEN("one of them reads the store and the others ask it") {
+      std::string reader;
+      for (const auto& [name, choice] : choices) {
+        if (choice.source == RelayChoice::Source::kStore) {
+          CHECK(reader.empty());
+          reader = name;
+        }
+      }
+      REQUIRE_FALSE(reader.empty());
+      for (const auto& [name, choice] : choices) {
+        CHECK((name == reader || choice.peer.vm == reader));
+      }
+    }
+  }
+  GIVEN("a VM whose reader does not answer") {
+    RelaySelector selector("vm-1");
+    selector.SetPeers(others);
+    // Leave out everybody before this VM, and then this VM itself.
+    while (selector.Choose(kStart).source == RelayChoice::Source::kPeer) {
+      selector.OnSilent(selector.Choose(kStart).peer.vm, kStart);
+    }
+    THEN("the next one in order is asked, in the end the store itself") {
+      CHECK(selector.Choose(kStart).source == RelayChoice::Source::kStore);
+    }
+    THEN("the reader is asked again after a while") {
+      RelaySelector fresh("vm-1");
+      fresh.SetPeers(others);
+      const RelayChoice first = fresh.Choose(kStart);
+      CHECK(selector.Choose(kStart + 2s).source == first.source);
+      CHECK(selector.Choose(kStart + 2s).peer.vm == first.peer.vm);
+    }
+  }
+  GIVEN("a store that nobody reaches") {
+    std::vector<RelayPeer> many;
+    for (int i = 0; i < 40; ++i) {
+      many.push_back({"other-" + std::to_string(i), {"127.0.0.1", 1}});
+    }
+    int readers = 0;
+    int waiting = 0;
+    for (int i = 0; i < 40; ++i) {
+      const std::string own = many[static_cast<std::size_t>(i)].vm;
+      std::vector<RelayPeer> peers;
+      for (const RelayPeer& peer : many) {
+        if (peer.vm != own) {
+          peers.push_back(peer);
+        }
+      }
+      RelaySelector selector(own);
+      selector.SetPeers(peers);
+      while (selector.Choose(kStart).source == RelayChoice::Source::kPeer) {
+        selector.OnStale(selector.Choose(kStart).peer.vm, kStart);
+      }
+      const auto source = selector.Choose(kStart).source;
+      readers += source == RelayChoice::Source::kStore ? 1 : 0;
+      waiting += source == RelayChoice::Source::kNobody ? 1 : 0;
+    }
+    THEN("enough VMs go on trying that refusals to a third of them hide no change") {
+      CHECK(readers == 8);
+      CHECK(waiting == 32);
+    }
+  }
+}
+
+SCENARIO("A copy of rows tells what has changed since any version that it still knows") {
+  RowCopy copy;
+  copy.Take({{MakeRow("a", 3), MakeRow("b", 5)}, 10}, true);
+
+  THEN("nothing has changed since its own version") {
+    REQUIRE(copy.ChangesSince(10).has_value());
+    CHECK(copy.ChangesSince(10)->rows.empty());
+  }
+  THEN("it cannot tell what was removed before it was read") {
+    CHECK_FALSE(copy.ChangesSince(9).has_value());
+  }
+  WHEN("rows change and go") {
+    copy.Take({{MakeRow("a", 12), MakeRemoval("b", 13)}, 14}, false);
+    THEN("both are told, in their order") {
+      const auto changes = copy.ChangesSince(11);
+      REQUIRE(changes->rows.size() == 2);
+      CHECK(changes->rows[0].key == "a");
+      CHECK(changes->rows[1].removed);
+      CHECK(copy.NewestChange() == 13);
+    }
+    THEN("a row that came back is not told as removed") {
+      copy.Take({{MakeRow("b", 15)}, 15}, false);
+      const auto changes = copy.ChangesSince(11);
+      REQUIRE(changes->rows.size() == 2);
+      CHECK_FALSE(changes->rows[0].removed);
+      CHECK_FALSE(changes->rows[1].removed);
+    }
+  }
+  THEN("what is passed on comes back the same") {
+    const RelayedRows sent{copy.All(), 250ms, 40ms};
+    const auto received = DecodeRows("peer", EncodeRows(sent));
+    REQUIRE(IsOk(received));
+    CHECK(ValueOf(received).rows.rows.size() == 2);
+    CHECK(ValueOf(received).rows.version == 10);
+    CHECK(ValueOf(received).age == Duration(250ms));
+    CHECK(ValueOf(received).since_outage == Duration(40ms));
+  }
+  THEN("other bytes are an error") { CHECK_FALSE(IsOk(DecodeRows("peer", "{\"version\":1}"))); }
+}
+
+SCENARIO("One VM reads the store and another hears from it") {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  FakeStore unused(loop);
+  unused.Refuse(true);
+  store.Put("a", "1");
+  RelayVm reader(loop, store, "reader");
+  RelayVm other(loop, unused, "other");
+  const std::vector<RelayVm*> vms{&reader, &other};
+  REQUIRE(IsOk(Read(loop, vms, reader, std::nullopt)));
+  // The order among names decides who reads; here the other VM must ask whatever its rank.
+  other.store.SetPeers({{"reader", reader.server.LocalEndpoint()}});
+  const auto read_by_other = [&](std::optional<std::uint64_t> after) {
+    auto result = Read(loop, vms, other, after);
+    return IsOk(result) ? result : Read(loop, vms, other, after);
+  };
+
+  WHEN("the other VM reads the table") {
+    const auto rows = read_by_other(std::nullopt);
+    THEN("it gets the reader's copy") {
+      REQUIRE(IsOk(rows));
+      REQUIRE(ValueOf(rows).rows.size() == 1);
+      CHECK(ValueOf(rows).rows[0].value == "1");
+      CHECK_FALSE(other.store.ReadsStore("workers"));
+    }
+  }
+  WHEN("a row changes while both wait") {
+    const auto rows = read_by_other(std::nullopt);
+    REQUIRE(IsOk(rows));
+    std::optional<Result<store::TableRows>> at_reader;
+    reader.store.AwaitChanges(
+        "workers", ValueOf(rows).version, 1s,
+        [&](Result<store::TableRows> value) { at_reader = std::move(value); });
+    std::optional<Result<store::TableRows>> at_other;
+    other.store.AwaitChanges("workers", ValueOf(rows).version, 1s,
+                             [&](Result<store::TableRows> value) { at_other = std::move(value); });
+    loop.RunOnce(10ms);
+    store.Put("b", "2");
+    RunUntil(loop, vms, [&] { return at_reader.has_value() && at_other.has_value(); });
+    THEN("the other VM hears of it through the reader") {
+      REQUIRE(IsOk(*at_other));
+      REQUIRE(ValueOf(*at_other).rows.size() == 1);
+      CHECK(ValueOf(*at_other).rows[0].key == "b");
+    }
+  }
+  WHEN("rows are too large to pass on") {
+    store.Put("big", std::string(40 * 1024, 'x'));
+    std::optional<Result<store::TableRows>> at_reader;
+    reader.store.AwaitChanges(
+        "workers", 1, 1s, [&](Result<store::TableRows> value) { at_reader = std::move(value); });
+    RunUntil(loop, vms, [&] { return at_reader.has_value(); });
+    RelayVm third(loop, store, "third");
+    third.store.SetPeers({{"reader", reader.server.LocalEndpoint()}});
+    const auto rows = Read(loop, vms, third, std::nullopt);
+    THEN("each VM reads them from the store itself") {
+      REQUIRE(IsOk(rows));
+      CHECK(ValueOf(rows).rows.size() == 2);
+      CHECK(third.store.ReadsStore("workers"));
+    }
+  }
+  WHEN("the reader itself has nothing fresh") {
+    RelayVm stale(loop, unused, "stale");
+    RelayVm asker(loop, store, "asker");
+    asker.store.SetPeers({{"stale", stale.server.LocalEndpoint()}});
+    const auto rows = Read(loop, vms, asker, std::nullopt);
+    THEN("the other reads the store itself") {
+      REQUIRE(IsOk(rows));
+      CHECK(asker.store.ReadsStore("workers"));
+    }
+  }
+}
+
+SCENARIO("A VM that could not read one table is not kept from reading another for good") {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  store.Put("a", "1");
+  RelayVm vm(loop, store, "vm");
+  const std::vector<RelayVm*> vms{&vm};
+  store.Refuse(true);
+  std::optional<Result<store::TableRows>> first;
+  vm.store.ReadTable("workers", [&](Result<store::TableRows> value) { first = std::move(value); });
+  RunUntil(loop, vms, [&] { return first.has_value(); });
+  REQUIRE_FALSE(IsOk(*first));
+  store.Refuse(false);
+  THEN("the other table can be read although nobody asks for the first any more") {
+    bool is_read = false;
+    std::function<void()> read_on = [&] {
+      vm.store.ReadTable("configuration", [&](const Result<store::TableRows>& value) {
+        is_read = IsOk(value);
+        if (!is_read) {
+          loop.Post(read_on);
+        }
+      });
+    };
+    read_on();
+    RunUntil(loop, vms, [&] { return is_read; });
+  }
+}
