Pass on only rows read from the store itself, so that VMs never wait for each other

Change: a VM passes on only what it has itself read from the store, within 2.5 s; one that the store refuses asks a peer in the same reading. A restarted VM reads the store at its first caller. Tests: test_relay (circle, refused VM).

--- a/libs/gateway/include/quetzalhinge/gateway/call_service.h
+++ b/libs/gateway/include/quetzalhinge/gateway/call_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -45,11 +46,15 @@
   /** Takes a request; it is answered sooner or later. */
   void Handle(std::shared_ptr<http::ServerExchange> exchange);
 
+  /** Sets what to do when a caller comes before a configuration is known. */
+  void OnEarlyCaller(std::function<void()> callback);
+
   /** From now on requests are refused; those in progress go on. */
   void RefuseNew();
 
  private:
   CallContext& m_context;
+  std::function<void()> m_on_early_caller;
   bool m_refuse_new = false;
 };
 
--- a/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
@@ -19,9 +19,9 @@
 
 /**
  * The store as most VMs see it: read by a few VMs of each zone, and passed on by them to the others
- * of the zone at once. Every answer carries its age, the time since the rows were known as current
- * at the store; a VM passes nothing on that is older than kMaxRelayAge, so that VMs that ask each
- * other in a circle find out. Where no peer answers, the store is read directly.
+ * of the zone at once. A VM passes on only what it has itself read from the store, and not when
+ * that was too long ago; so VMs never wait for each other in a circle, and a reader that is cut off
+ * from the store shows. Where no peer answers, the store is read directly.
  */
 class RelayedStore : public store::TableStore {
  public:
--- a/libs/gateway/src/call_service.cc
+++ b/libs/gateway/src/call_service.cc
@@ -36,6 +36,10 @@
 CallService::CallService(CallContext& context) : m_context(context) {}
 CallService::~CallService() = default;
 
+void CallService::OnEarlyCaller(std::function<void()> callback) {
+  m_on_early_caller = std::move(callback);
+}
+
 void CallService::RefuseNew() { m_refuse_new = true; }
 
 void CallService::Handle(std::shared_ptr<http::ServerExchange> exchange) {
@@ -57,6 +61,9 @@
     return refuse(503, "stopping");
   }
   if (!m_context.routes.HasConfiguration()) {
+    if (m_on_early_caller != nullptr) {
+      m_on_early_caller();
+    }
     return refuse(503, "no configuration is known yet");
   }
   if (http::CountHeaders(request.headers, names.request_id) != 1 ||
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -148,6 +148,8 @@
         register_timer(loop, [this] { Register(); }),
         first_read_timer(loop, [this] { StartReading(); }),
         news_timer(loop, [this] { CheckNews(); }) {
+    // After a restart under load there is no time to wait for peers first.
+    calls.OnEarlyCaller([this] { StartReading(); });
     relayed_store.OnStoreReturned([this](Duration ago) { copy.OnStoreReturned(ago); });
   }
 
@@ -268,7 +270,7 @@
     return chosen;
   }
 
-  void AnswerAddresses(http::ServerExchange& exchange) const {
+  void AnswerAddresses(http::ServerExchange& exchange) {
     const std::string& path = exchange.Request().path;
     if (http::PathOnly(path) != environment.front_door.AddressPath()) {
       exchange.Respond({404, {}, "", false});
@@ -276,6 +278,7 @@
     }
     const std::vector<IpEndpoint> addresses = AddressesFor(environment.front_door.CallerZone(path));
     if (addresses.empty()) {
+      StartReading();
       exchange.Respond({503, {{"retry-after", "0.2"}}, "", false});
       return;
     }
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -35,8 +35,8 @@
 /** How long a peer's answer may take beyond the wait. */
 constexpr milliseconds kPeerAnswerTime{400};
 
-/** Rows that were current longer ago than this are not passed on. */
-constexpr milliseconds kMaxRelayAge{3200};
+/** Rows that were current longer ago than this are not passed on: a wait, a pause and an answer. */
+constexpr milliseconds kMaxRelayAge{2500};
 
 /** Peers that are asked for one reading, before it fails; as many as read in an outage, and some.
  */
@@ -138,7 +138,7 @@
     NoteSource(table, choice);
     switch (choice.source) {
       case RelayChoice::Source::kStore:
-        AskStore(table, after, reading);
+        AskStore(table, after, reading, asked);
         return;
       case RelayChoice::Source::kPeer:
         if (asked < kMaxPeersAsked) {
@@ -173,11 +173,12 @@
     }
   }
 
-  void AskStore(const std::string& table, std::optional<std::uint64_t> after,
-                std::uint64_t reading) {
+  void AskStore(const std::string& table, std::optional<std::uint64_t> after, std::uint64_t reading,
+                int asked) {
     const TimePoint not_before = tables[table].store_not_before;
     if (loop.Now() < not_before) {
-      Later(not_before, [this, table, after, reading] { AskStore(table, after, reading); });
+      Later(not_before,
+            [this, table, after, reading, asked] { AskStore(table, after, reading, asked); });
       return;
     }
     if (reading != tables[table].reading) {
@@ -190,10 +191,10 @@
     }
     store_reads.Add();
     const bool is_whole = !after.has_value();
-    auto take = [weak = weak_from_this(), table, reading, is_whole,
+    auto take = [weak = weak_from_this(), table, after, reading, asked,
                  asked_at = loop.Now()](const Result<store::TableRows>& result) {
       if (const auto self = weak.lock()) {
-        self->OnStoreAnswered(table, reading, is_whole, asked_at, result);
+        self->OnStoreAnswered(table, after, reading, asked, asked_at, result);
       }
     };
     if (is_whole) {
@@ -226,8 +227,9 @@
     }
   }
 
-  void OnStoreAnswered(const std::string& table, std::uint64_t reading, bool is_whole,
-                       TimePoint asked_at, const Result<store::TableRows>& result) {
+  void OnStoreAnswered(const std::string& table, std::optional<std::uint64_t> after,
+                       std::uint64_t reading, int asked, TimePoint asked_at,
+                       const Result<store::TableRows>& result) {
     if (IsOk(result) || ErrorOf(result).code == ErrorCode::kConflict) {
       NoteStoreAnswers();
     } else {
@@ -246,7 +248,11 @@
     state.gap = ended_early ? std::min(state.gap * 2, kLongestGap) : kFirstGap;
     state.store_not_before = loop.Now() + state.gap;
     if (IsOk(result)) {
-      Keep(table, reading, ValueOf(result), is_whole, loop.Now(), true);
+      Keep(table, reading, ValueOf(result), !after.has_value(), loop.Now(), true);
+    } else if (ErrorOf(result).code != ErrorCode::kConflict && asked < kMaxPeersAsked) {
+      // The store may refuse this VM and serve others.
+      Ask(table, after, reading, asked + 1);
+      return;
     }
     Finish(table, reading, result);
   }
@@ -335,7 +341,7 @@
     }
     if (response->status == kTooLarge) {
       selector.OnAnswered(peer.vm);
-      AskStore(table, after, reading);
+      AskStore(table, after, reading, asked);
       return;
     }
     auto relayed = response->status == kOk
@@ -384,8 +390,10 @@
     callback(std::move(result));
   }
 
+  /** Only what was read from the store itself is passed on: VMs never wait for each other. */
   bool IsFresh(const Table& state) const {
-    return state.fresh_at.has_value() && loop.Now() - *state.fresh_at <= kMaxRelayAge;
+    return state.from_store && state.fresh_at.has_value() &&
+           loop.Now() - *state.fresh_at <= kMaxRelayAge;
   }
 
   void AnswerWith(http::ServerExchange& exchange, const Table& state,
--- a/libs/gateway/test/test_relay.cc
+++ b/libs/gateway/test/test_relay.cc
@@ -322,6 +322,30 @@
       CHECK(third.store.ReadsStore("workers"));
     }
   }
+  WHEN("a VM that hears from the reader is asked itself") {
+    REQUIRE(IsOk(read_by_other(std::nullopt)));
+    RelayVm asker(loop, store, "asker");
+    asker.store.SetPeers({{"other", other.server.LocalEndpoint()}});
+    REQUIRE(IsOk(Read(loop, vms, asker, std::nullopt)));
+    THEN("it passes nothing on, so that two VMs never wait for each other") {
+      CHECK(asker.store.ReadsStore("workers"));
+    }
+  }
+  WHEN("the store refuses a VM that would read it") {
+    store.Refuse(true);
+    std::optional<Result<store::TableRows>> ignored;
+    FakeStore good(loop);
+    good.Put("a", "1");
+    RelayVm served(loop, good, "served");
+    REQUIRE(IsOk(Read(loop, {&served}, served, std::nullopt)));
+    RelayVm refused(loop, store, "refused");
+    refused.store.SetPeers({{"served", served.server.LocalEndpoint()}});
+    const auto rows = Read(loop, {&served, &refused}, refused, std::nullopt);
+    THEN("it hears from one that is served, in the same reading") {
+      REQUIRE(IsOk(rows));
+      CHECK(ValueOf(rows).rows.size() == 1);
+    }
+  }
   WHEN("the reader itself has nothing fresh") {
     RelayVm stale(loop, unused, "stale");
     RelayVm asker(loop, store, "asker");
