--- a/apps/qh-gateway/src/main.cc
+++ b/apps/qh-gateway/src/main.cc
@@ -25,11 +25,10 @@
   const qh::platform_adapter::PlatformDecoder decoder;
   const qh::platform_adapter::PlatformFrontDoor front_door;
   qh::platform_adapter::StoreClient store(loop, settings.store);
-  qh::gateway::GatewayProcess process(loop, settings,
-                                      {decoder, front_door, store,
-                                       qh::platform_adapter::PlatformLayout(),
-                                       qh::platform_adapter::WireHeaders(),
-                                       [&file] { return ReadSettings(file); }});
+  qh::gateway::GatewayProcess process(
+      loop, settings,
+      {decoder, front_door, store, qh::platform_adapter::PlatformLayout(),
+       qh::platform_adapter::WireHeaders(), [&file] { return ReadSettings(file); }});
   const qh::Result<qh::Success> started = process.Start();
   if (!qh::IsOk(started)) {
     qh::logging::LogError("process", qh::ErrorOf(started));
--- a/libs/dispatch/test/test_worker_picker.cc
+++ b/libs/dispatch/test/test_worker_picker.cc
@@ -2,8 +2,8 @@
 
 #include "quetzalhinge/dispatch/worker_picker.h"
 
-using namespace qh;
-using namespace qh::dispatch;
+namespace qh::dispatch {
+
 using namespace std::chrono_literals;
 
 namespace {
@@ -113,3 +113,5 @@
     THEN("there is nothing to send to") { CHECK(fixture.Decide().step == PickStep::kNone); }
   }
 }
+
+}  // namespace qh::dispatch
--- a/libs/dispatch/test/test_worker_registry.cc
+++ b/libs/dispatch/test/test_worker_registry.cc
@@ -2,8 +2,8 @@
 
 #include "quetzalhinge/dispatch/worker_registry.h"
 
-using namespace qh;
-using namespace qh::dispatch;
+namespace qh::dispatch {
+
 using namespace std::chrono_literals;
 
 namespace {
@@ -135,3 +135,5 @@
     }
   }
 }
+
+}  // namespace qh::dispatch
--- a/libs/gateway/test/test_calls.cc
+++ b/libs/gateway/test/test_calls.cc
@@ -11,8 +11,8 @@
 #include "quetzalhinge/net/tcp_listener.h"
 #include "quetzalhinge/net/timer.h"
 
-using namespace qh;
-using namespace qh::gateway;
+namespace qh::gateway {
+
 using namespace std::chrono_literals;
 
 namespace {
@@ -414,3 +414,5 @@
     CHECK_FALSE(fixture.notices.empty());
   }
 }
+
+}  // namespace qh::gateway
--- a/libs/gateway/test/test_decisions.cc
+++ b/libs/gateway/test/test_decisions.cc
@@ -8,8 +8,7 @@
 #include "quetzalhinge/gateway/gateway_settings.h"
 #include "quetzalhinge/gateway/retry_budgets.h"
 
-using namespace qh;
-using namespace qh::gateway;
+namespace qh::gateway {
 
 namespace {
 
@@ -105,3 +104,5 @@
   CHECK(problems("[vm]\nname = vm-1\n") > 5);
   CHECK(problems(good + "[gossip2]\n") == 1);
 }
+
+}  // namespace qh::gateway
--- a/libs/gateway/test/test_relay.cc
+++ b/libs/gateway/test/test_relay.cc
@@ -10,8 +10,8 @@
 #include "quetzalhinge/gateway/relayed_store.h"
 #include "quetzalhinge/gateway/row_copy.h"
 
-using namespace qh;
-using namespace qh::gateway;
+namespace qh::gateway {
+
 using namespace std::chrono_literals;
 
 namespace {
@@ -384,3 +384,5 @@
     RunUntil(loop, vms, [&] { return is_read; });
   }
 }
+
+}  // namespace qh::gateway
--- a/libs/http/src/connection_server.cc
+++ b/libs/http/src/connection_server.cc
@@ -50,6 +50,16 @@
   return 400;
 }
 
+void CountRefusal(ReadFault fault, RefusalCounts& refused) {
+  if (fault == ReadFault::kHeadTooLarge) {
+    ++refused.head_too_large;
+  } else if (fault == ReadFault::kBodyTooLarge) {
+    ++refused.body_too_large;
+  } else {
+    ++refused.malformed;
+  }
+}
+
 bool EqualsIgnoringCase(std::string_view text, std::string_view lower) {
   return std::equal(text.begin(), text.end(), lower.begin(), lower.end(), [](char a, char b) {
     return std::tolower(static_cast<unsigned char>(a)) == b;
@@ -212,9 +222,7 @@
     m_unread.erase(0, m_reader.Read(m_unread));
     if (m_reader.Fault().has_value()) {
       const ReadFault fault = *m_reader.Fault();
-      ++(fault == ReadFault::kHeadTooLarge   ? m_server.refused.head_too_large
-         : fault == ReadFault::kBodyTooLarge ? m_server.refused.body_too_large
-                                             : m_server.refused.malformed);
+      CountRefusal(fault, m_server.refused);
       Refuse(StatusOf(fault));
       break;
     }
--- a/libs/http/test/test_connections.cc
+++ b/libs/http/test/test_connections.cc
@@ -9,8 +9,8 @@
 #include "quetzalhinge/net/tcp_connection.h"
 #include "quetzalhinge/net/tcp_listener.h"
 
-using namespace qh;
-using namespace qh::http;
+namespace qh::http {
+
 using namespace std::chrono_literals;
 
 namespace {
@@ -231,3 +231,5 @@
     THEN("the caller gets 500") { CHECK(std::get<HttpResponse>(*result).status == 500); }
   }
 }
+
+}  // namespace qh::http
--- a/libs/http/test/test_message_reader.cc
+++ b/libs/http/test/test_message_reader.cc
@@ -3,7 +3,7 @@
 
 #include "quetzalhinge/http/message_reader.h"
 
-using namespace qh::http;
+namespace qh::http {
 
 namespace {
 
@@ -108,3 +108,5 @@
     }
   }
 }
+
+}  // namespace qh::http
--- a/libs/routes/test/test_route_table.cc
+++ b/libs/routes/test/test_route_table.cc
@@ -3,8 +3,7 @@
 
 #include "quetzalhinge/routes/route_table.h"
 
-using namespace qh;
-using namespace qh::routes;
+namespace qh::routes {
 
 namespace {
 
@@ -113,3 +112,5 @@
     CHECK_FALSE(is_valid(configuration));
   }
 }
+
+}  // namespace qh::routes
