--- a/apps/qh-entry/src/call_error.cc
+++ b/apps/qh-entry/src/call_error.cc
@@ -21,7 +21,7 @@
   Outcome outcome;
 };
 
-constexpr std::array<CodeRow, 29> kCodes{{
+constexpr std::array<CodeRow, 30> kCodes{{
     {CallErrorCode::kMalformedRequest, "malformed_request", 400, Outcome::kNotRun},
     {CallErrorCode::kAmbiguousFraming, "ambiguous_framing", 400, Outcome::kNotRun},
     {CallErrorCode::kMissingCustomer, "missing_customer", 400, Outcome::kNotRun},
@@ -30,6 +30,7 @@
     {CallErrorCode::kUnknownPath, "unknown_path", 404, Outcome::kNotRun},
     {CallErrorCode::kBodyTooLarge, "body_too_large", 413, Outcome::kNotRun},
     {CallErrorCode::kHeadersTooLarge, "headers_too_large", 431, Outcome::kNotRun},
+    {CallErrorCode::kRequestTimeout, "request_timeout", 408, Outcome::kNotRun},
     {CallErrorCode::kKeyMissing, "key_missing", 422, Outcome::kNotRun},
     {CallErrorCode::kKeyMalformed, "key_malformed", 422, Outcome::kNotRun},
     {CallErrorCode::kKeyReused, "key_reused", 422, Outcome::kNotRun},
--- a/apps/qh-entry/src/call_error.h
+++ b/apps/qh-entry/src/call_error.h
@@ -23,6 +23,7 @@
   kUnknownPath,
   kBodyTooLarge,
   kHeadersTooLarge,
+  kRequestTimeout,
   kKeyMissing,
   kKeyMalformed,
   kKeyReused,
--- a/apps/qh-entry/src/call_service.cc
+++ b/apps/qh-entry/src/call_service.cc
@@ -11,6 +11,23 @@
 namespace qh::entry {
 namespace {
 
+CallError ErrorOfBadInput(http::Refusal refusal) {
+  switch (refusal) {
+    case http::Refusal::kAmbiguousFraming:
+      return {
+          CallErrorCode::kAmbiguousFraming, "the length of the body can be read in two ways", {}};
+    case http::Refusal::kHeadTooLarge:
+      return {CallErrorCode::kHeadersTooLarge, "the head has too many bytes or fields", {}};
+    case http::Refusal::kBodyTooLarge:
+      return {CallErrorCode::kBodyTooLarge, "the body is longer than this VM takes", {}};
+    case http::Refusal::kTimedOut:
+      return {CallErrorCode::kRequestTimeout, "the request was not sent in time", {}};
+    case http::Refusal::kMalformed:
+      break;
+  }
+  return {CallErrorCode::kMalformedRequest, "the request is not HTTP/1.1", {}};
+}
+
 using std::chrono::milliseconds;
 
 /** How often waiting calls are checked for those that can no longer meet their deadline. */
@@ -130,6 +147,12 @@
   exchange->Respond(std::move(response));
 }
 
+http::HttpResponse CallService::BadInputResponse(http::Refusal refusal) {
+  const CallError error = ErrorOfBadInput(refusal);
+  CountCall(OutcomeOf(error.code), ToString(error.code));
+  return ToResponse(error, MakeRandomId(m_context.generator));
+}
+
 void CallService::CountCall(Outcome outcome, const char* code) {
   m_context.metrics
       .CounterOf("qh_calls_total",
--- a/apps/qh-entry/src/call_service.h
+++ b/apps/qh-entry/src/call_service.h
@@ -50,6 +50,9 @@
   /** Answers one request, now or later. */
   void Handle(const std::shared_ptr<http::HttpExchange>& exchange);
 
+  /** Returns the response to bad input that the server has refused, and counts it. */
+  http::HttpResponse BadInputResponse(http::Refusal refusal);
+
   /** Sets whether calls are taken; kDraining asks callers to look for another VM. */
   void SetState(ServiceState state) noexcept { m_state = state; }
 
--- a/apps/qh-entry/src/entry_process.cc
+++ b/apps/qh-entry/src/entry_process.cc
@@ -33,8 +33,10 @@
           static_cast<std::uint32_t>(settings.home_slots)};
 }
 
-http::HttpServerOptions CallerServerOptions(const vm_settings::EntryVmSettings& settings) {
-  return {settings.addresses.callers, settings.max_body_bytes, settings.caller_timeout};
+http::HttpServerOptions CallerServerOptions(const vm_settings::EntryVmSettings& settings,
+                                            http::RefusalResponse refusal_response) {
+  return {settings.addresses.callers, settings.max_body_bytes, settings.caller_timeout,
+          std::move(refusal_response)};
 }
 
 http::HttpServerOptions AdminServerOptions(const vm_settings::EntryVmSettings& settings) {
@@ -92,7 +94,11 @@
                           generator},
               addresses),
         control(kj_loop, vm_settings, incarnation, *this),
-        caller_server(event_loop, CallerServerOptions(vm_settings),
+        caller_server(event_loop,
+                      CallerServerOptions(vm_settings,
+                                          [this](http::Refusal refusal) {
+                                            return calls.BadInputResponse(refusal);
+                                          }),
                       [this](const std::shared_ptr<http::HttpExchange>& exchange) {
                         calls.Handle(exchange);
                       }),
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -321,7 +321,8 @@
   void OnConfigurationApplied() override {
     const routes::CallerLimits& limits = routes.Configuration().limits;
     http::ConnectionLimits connection_limits;
-    connection_limits.message = {limits.max_header_bytes, limits.max_body_bytes};
+    connection_limits.message.max_head_bytes = limits.max_header_bytes;
+    connection_limits.message.max_body_bytes = limits.max_body_bytes;
     connection_limits.head_timeout = limits.header_timeout;
     connection_limits.idle_timeout = limits.idle_timeout;
     call_server.SetLimits(connection_limits);
--- a/libs/http/include/quetzalhinge/http/connection_server.h
+++ b/libs/http/include/quetzalhinge/http/connection_server.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "quetzalhinge/base/error.h"
 #include "quetzalhinge/base/ip_endpoint.h"
@@ -41,9 +42,18 @@
 
   /** Sends the response; does nothing if the connection is gone or a response was sent. */
   virtual void Respond(const HttpResponse& response) = 0;
+
+  /** Closes the connection in place of a response, after sending `raw_bytes` as they are. */
+  virtual void Abort(std::string_view raw_bytes) = 0;
 };
 
 /** Why the server itself refuses a request; the handler never sees it. */
+enum class Refusal { kMalformed, kAmbiguousFraming, kHeadTooLarge, kBodyTooLarge, kTimedOut };
+
+/** Returns the status that answers `refusal`. */
+int StatusOf(Refusal refusal) noexcept;
+
+/** What the server itself has refused. */
 struct RefusalCounts {
   std::size_t malformed = 0;
   std::size_t head_too_large = 0;
@@ -75,6 +85,9 @@
   /** Applies other limits, also to open connections from their next request on. */
   void SetLimits(const ConnectionLimits& limits);
 
+  /** Sets the response to what the server itself refuses; a plain status if it is not set. */
+  void OnRefusal(std::function<HttpResponse(Refusal refusal)> make_response);
+
   /** From now on each response ends its connection. */
   void CloseAfterResponses();
 
@@ -84,6 +97,9 @@
   /** Closes connections without a request in progress. */
   void CloseIdleConnections();
 
+  /** Closes all connections, without answering their requests. */
+  void AbortConnections();
+
   /** Returns the number of open connections. */
   std::size_t OpenConnections() const noexcept;
 
--- a/libs/http/include/quetzalhinge/http/http_server.h
+++ b/libs/http/include/quetzalhinge/http/http_server.h
@@ -9,19 +9,25 @@
 
 #include "quetzalhinge/base/error.h"
 #include "quetzalhinge/base/ip_endpoint.h"
+#include "quetzalhinge/http/connection_server.h"
 #include "quetzalhinge/http/http_message.h"
 #include "quetzalhinge/net/event_loop.h"
 
 namespace qh::http {
 
+/** Makes the response to what the server itself refuses. */
+using RefusalResponse = std::function<HttpResponse(Refusal refusal)>;
+
 /** Options of an HttpServer. */
 struct HttpServerOptions {
   /** Address to listen on; port 0 takes a free one. */
   IpEndpoint listen;
-  /** Largest body that is read; longer ones are answered 413 by h2o before the handler runs. */
+  /** Largest body that is read; longer ones are refused before the handler runs. */
   std::size_t max_body_bytes = 1024 * 1024;
   /** How long a peer may take to send one request, head and body; then it is disconnected. */
   std::chrono::milliseconds request_timeout{10000};
+  /** Makes the response to bad input; a plain status if it is not set. */
+  RefusalResponse refusal_response = nullptr;
 };
 
 /** One request whose response is owed. Destroying it unanswered sends status 500. */
@@ -32,8 +38,11 @@
   /** Returns the request. */
   virtual const HttpRequest& Request() const noexcept = 0;
 
-  /** Returns whether the head described the body's length in two ways (RFC 9112, 6.3). */
-  virtual bool HasAmbiguousFraming() const noexcept = 0;
+  /**
+   * Returns whether the head described the body's length in two ways (RFC 9112, 6.3). HttpServer
+   * refuses such requests itself.
+   */
+  virtual bool HasAmbiguousFraming() const noexcept { return false; }
 
   /** Returns the IP number of the peer; empty if it is not known. */
   virtual std::string PeerIp() const = 0;
@@ -44,12 +53,6 @@
   /** Sends the response. Must be called once; does nothing if the connection is gone. */
   virtual void Respond(HttpResponse response) = 0;
 
-  /**
-   * Looks at the socket for the peer's end of stream. h2o does not read while a response is owed,
-   * so IsConnected() learns of a closed connection only when the response is sent.
-   */
-  virtual bool HasPeerClosed() const noexcept { return !IsConnected(); }
-
   /**
    * Closes the connection in place of a response, after sending `raw_bytes` as they are. For
    * stand-ins that cut or lose answers.
@@ -60,7 +63,7 @@
   }
 };
 
-/** HTTP/1.1 server on h2o. Bodies are read completely before the handler runs. */
+/** HTTP/1.1 server with fixed limits. Bodies are read completely before the handler runs. */
 class HttpServer {
  public:
   /** Called for each request; may answer at once or keep the exchange and answer later. */
--- a/libs/http/include/quetzalhinge/http/message_reader.h
+++ b/libs/http/include/quetzalhinge/http/message_reader.h
@@ -15,6 +15,9 @@
 /** Why a message cannot be read. */
 enum class ReadFault {
   kMalformed,
+  /** The head describes the body's length in two ways, or in one that cannot be trusted. */
+  kAmbiguousFraming,
+  /** Too many bytes, or too many fields. */
   kHeadTooLarge,
   kBodyTooLarge,
   /** The connection ended before the message did. */
@@ -27,6 +30,7 @@
 /** Sizes beyond which a message is refused. */
 struct ReaderLimits {
   std::size_t max_head_bytes = 16 * 1024;
+  std::size_t max_head_fields = 128;
   std::size_t max_body_bytes = 64 * 1024 * 1024;
 };
 
--- a/libs/http/src/connection_server.cc
+++ b/libs/http/src/connection_server.cc
@@ -37,26 +37,36 @@
   return is_head ? text : text + response.body;
 }
 
-int StatusOf(ReadFault fault) {
+Refusal RefusalOf(ReadFault fault) {
   switch (fault) {
     case ReadFault::kHeadTooLarge:
-      return 431;
+      return Refusal::kHeadTooLarge;
     case ReadFault::kBodyTooLarge:
-      return 413;
+      return Refusal::kBodyTooLarge;
+    case ReadFault::kAmbiguousFraming:
+      return Refusal::kAmbiguousFraming;
     case ReadFault::kMalformed:
     case ReadFault::kCutShort:
       break;
   }
-  return 400;
+  return Refusal::kMalformed;
 }
 
-void CountRefusal(ReadFault fault, RefusalCounts& refused) {
-  if (fault == ReadFault::kHeadTooLarge) {
-    ++refused.head_too_large;
-  } else if (fault == ReadFault::kBodyTooLarge) {
-    ++refused.body_too_large;
-  } else {
-    ++refused.malformed;
+void CountRefusal(Refusal refusal, RefusalCounts& refused) {
+  switch (refusal) {
+    case Refusal::kHeadTooLarge:
+      ++refused.head_too_large;
+      break;
+    case Refusal::kBodyTooLarge:
+      ++refused.body_too_large;
+      break;
+    case Refusal::kTimedOut:
+      ++refused.timed_out;
+      break;
+    case Refusal::kMalformed:
+    case Refusal::kAmbiguousFraming:
+      ++refused.malformed;
+      break;
   }
 }
 
@@ -68,6 +78,21 @@
 
 }  // namespace
 
+int StatusOf(Refusal refusal) noexcept {
+  switch (refusal) {
+    case Refusal::kHeadTooLarge:
+      return 431;
+    case Refusal::kBodyTooLarge:
+      return 413;
+    case Refusal::kTimedOut:
+      return 408;
+    case Refusal::kMalformed:
+    case Refusal::kAmbiguousFraming:
+      break;
+  }
+  return 400;
+}
+
 struct ConnectionServer::Impl : public std::enable_shared_from_this<ConnectionServer::Impl> {
   class Connection;
   class Exchange;
@@ -82,6 +107,7 @@
   std::size_t in_progress = 0;
   bool close_after_responses = false;
   RefusalCounts refused;
+  std::function<HttpResponse(Refusal)> make_refusal;
 
   Impl(net::EventLoop& event_loop, const ConnectionLimits& connection_limits, Handler on_request)
       : loop(event_loop),
@@ -111,6 +137,16 @@
   void Send(const HttpResponse& response, bool is_head);
   void CheckTimeouts(TimePoint now);
 
+  /** Sends `bytes` and ends the connection. */
+  void SendRaw(std::string_view bytes) {
+    if (m_tcp != nullptr) {
+      m_exchange.reset();
+      m_unread.clear();
+      m_tcp->Write(std::string(bytes));
+      CloseGently();
+    }
+  }
+
   /** Closes at once; the peer sees a reset if it has sent bytes that were not read. */
   void Drop();
 
@@ -125,7 +161,7 @@
  private:
   void ReadRequests();
   void Handle();
-  void Refuse(int status);
+  void Refuse(Refusal refusal);
   void AskForBody();
 
   Impl& m_server;
@@ -177,6 +213,18 @@
     }
   }
 
+  void Abort(std::string_view raw_bytes) override {
+    if (m_answered) {
+      return;
+    }
+    m_answered = true;
+    --m_server->in_progress;
+    const std::shared_ptr<Connection> connection = m_connection.lock();
+    if (connection != nullptr) {
+      connection->SendRaw(raw_bytes);
+    }
+  }
+
   void PeerGone() {
     m_connection.reset();
     if (!m_answered && m_on_peer_gone != nullptr) {
@@ -221,9 +269,7 @@
   while (!m_unread.empty() && m_exchange.expired() && !m_closing && m_tcp != nullptr) {
     m_unread.erase(0, m_reader.Read(m_unread));
     if (m_reader.Fault().has_value()) {
-      const ReadFault fault = *m_reader.Fault();
-      CountRefusal(fault, m_server.refused);
-      Refuse(StatusOf(fault));
+      Refuse(RefusalOf(*m_reader.Fault()));
       break;
     }
     if (!m_reader.IsComplete()) {
@@ -257,8 +303,14 @@
   m_server.handler(std::move(exchange));
 }
 
-void ConnectionServer::Impl::Connection::Refuse(int status) {
-  Send(HttpResponse{status, {}, "", true}, false);
+void ConnectionServer::Impl::Connection::Refuse(Refusal refusal) {
+  CountRefusal(refusal, m_server.refused);
+  HttpResponse response{StatusOf(refusal), {}, "", true};
+  if (m_server.make_refusal != nullptr) {
+    response = m_server.make_refusal(refusal);
+    response.close_connection = true;
+  }
+  Send(response, false);
 }
 
 void ConnectionServer::Impl::Connection::Send(const HttpResponse& response, bool is_head) {
@@ -316,8 +368,7 @@
   const milliseconds limit =
       m_reader.IsHeadComplete() ? m_server.limits.idle_timeout : m_server.limits.head_timeout;
   if (waited > limit) {
-    ++m_server.refused.timed_out;
-    Refuse(408);
+    Refuse(Refusal::kTimedOut);
   }
 }
 
@@ -367,6 +418,20 @@
 void ConnectionServer::CloseAfterResponses() { m_impl->close_after_responses = true; }
 void ConnectionServer::StopAccepting() { m_impl->listener.reset(); }
 
+void ConnectionServer::OnRefusal(std::function<HttpResponse(Refusal)> make_response) {
+  m_impl->make_refusal = std::move(make_response);
+}
+
+void ConnectionServer::AbortConnections() {
+  std::vector<std::shared_ptr<Impl::Connection>> open;
+  for (const auto& [key, connection] : m_impl->connections) {
+    open.push_back(connection);
+  }
+  for (const std::shared_ptr<Impl::Connection>& connection : open) {
+    connection->Drop();
+  }
+}
+
 void ConnectionServer::CloseIdleConnections() {
   std::vector<std::shared_ptr<Impl::Connection>> idle;
   for (const auto& [key, connection] : m_impl->connections) {
--- a/libs/http/src/message_reader.cc
+++ b/libs/http/src/message_reader.cc
@@ -5,13 +5,15 @@
 #include <cctype>
 #include <utility>
 
+#include "framing_check.h"
 #include "quetzalhinge/base/enum_table.h"
 
 namespace qh::http {
 namespace {
 
-constexpr EnumTable<ReadFault, 4> kFaultNames{{{
+constexpr EnumTable<ReadFault, 5> kFaultNames{{{
     {ReadFault::kMalformed, "malformed"},
+    {ReadFault::kAmbiguousFraming, "ambiguous_framing"},
     {ReadFault::kHeadTooLarge, "head_too_large"},
     {ReadFault::kBodyTooLarge, "body_too_large"},
     {ReadFault::kCutShort, "cut_short"},
@@ -19,6 +21,31 @@
 
 constexpr int kFirstFinalStatus = 200;
 
+/** The parser alone takes a list of codings that ends with "chunked". */
+bool HasClearFraming(const HttpHeaders& headers) {
+  std::string lines = "\n";
+  for (const HttpHeader& header : headers) {
+    if (header.name == "content-length" || header.name == "transfer-encoding") {
+      lines += header.name + ": " + header.value + "\n";
+    }
+  }
+  return CheckFraming(lines) == Framing::kClear;
+}
+
+/** Returns what is wrong with a message that the parser does not take. */
+ReadFault FaultOf(http_errno error) {
+  switch (error) {
+    case HPE_HEADER_OVERFLOW:
+      return ReadFault::kHeadTooLarge;
+    case HPE_INVALID_CONTENT_LENGTH:
+    case HPE_UNEXPECTED_CONTENT_LENGTH:
+    case HPE_INVALID_TRANSFER_ENCODING:
+      return ReadFault::kAmbiguousFraming;
+    default:
+      return ReadFault::kMalformed;
+  }
+}
+
 }  // namespace
 
 const char* ToString(ReadFault fault) noexcept { return kFaultNames.NameOf(fault); }
@@ -82,6 +109,9 @@
     }
     HttpHeaders& headers = impl.Headers();
     if (headers.empty() || impl.reading_value) {
+      if (headers.size() >= impl.limits.max_head_fields) {
+        return impl.Refuse(ReadFault::kHeadTooLarge);
+      }
       headers.emplace_back();
       impl.reading_value = false;
     }
@@ -112,6 +142,10 @@
         parser->upgrade = 0;
       }
     }
+    if (impl.kind == MessageKind::kRequest && !HasClearFraming(impl.request.headers)) {
+      impl.fault = ReadFault::kAmbiguousFraming;
+      return -1;
+    }
     const bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
     if (has_length && parser->content_length > impl.limits.max_body_bytes) {
       impl.fault = ReadFault::kBodyTooLarge;
@@ -178,10 +212,8 @@
       m_impl->fault = ReadFault::kHeadTooLarge;
     }
   }
-  if (error == HPE_HEADER_OVERFLOW) {
-    m_impl->fault = ReadFault::kHeadTooLarge;
-  } else if (error != HPE_OK && error != HPE_PAUSED && !m_impl->fault.has_value()) {
-    m_impl->fault = ReadFault::kMalformed;
+  if (error != HPE_OK && error != HPE_PAUSED && !m_impl->fault.has_value()) {
+    m_impl->fault = FaultOf(error);
   }
   if (m_impl->fault.has_value()) {
     m_impl->complete = false;
--- a/libs/http/test/test_message_reader.cc
+++ b/libs/http/test/test_message_reader.cc
@@ -48,12 +48,16 @@
       reader.Read(
           "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
           "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
-      CHECK(reader.Fault() == ReadFault::kMalformed);
+      CHECK(reader.Fault() == ReadFault::kAmbiguousFraming);
     }
     THEN("two different lengths are a fault") {
       reader.Read(
           "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc");
-      CHECK(reader.Fault() == ReadFault::kMalformed);
+      CHECK(reader.Fault() == ReadFault::kAmbiguousFraming);
+    }
+    THEN("a list of codings is a fault although it ends with the one that is known") {
+      reader.Read("POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n");
+      CHECK(reader.Fault() == ReadFault::kAmbiguousFraming);
     }
     THEN("a connection that ends early is a fault") {
       reader.Read("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nab");
@@ -62,11 +66,15 @@
     }
   }
   GIVEN("small limits") {
-    MessageReader reader(MessageKind::kRequest, {64, 4});
+    MessageReader reader(MessageKind::kRequest, {64, 2, 4});
     THEN("a long head is a fault") {
       FeedSingly(reader, "GET / HTTP/1.1\r\nHost: " + std::string(100, 'x') + "\r\n\r\n");
       CHECK(reader.Fault() == ReadFault::kHeadTooLarge);
     }
+    THEN("many fields are a fault") {
+      reader.Read("GET / HTTP/1.1\r\na: 1\r\nb: 2\r\nc: 3\r\n\r\n");
+      CHECK(reader.Fault() == ReadFault::kHeadTooLarge);
+    }
     THEN("a long body is a fault before it has been sent") {
       reader.Read("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n");
       CHECK(reader.Fault() == ReadFault::kBodyTooLarge);
--- a/libs/standin/src/standin_worker.cc
+++ b/libs/standin/src/standin_worker.cc
@@ -204,7 +204,7 @@
     while (!waiting.empty() && running.size() < static_cast<std::size_t>(options.slots)) {
       WaitingRequest next = std::move(waiting.front());
       waiting.pop_front();
-      if (next.exchange->HasPeerClosed()) {
+      if (!next.exchange->IsConnected()) {
         ++cancelled;
       } else if (next.deadline.has_value() && *next.deadline <= loop.Now()) {
         Shed(*next.exchange, "deadline passed in the queue", false);
@@ -217,7 +217,7 @@
   /** Closing the connection cancels a request: its slot is free at once. */
   void DropCancelled() {
     for (auto job = running.begin(); job != running.end();) {
-      if (job->exchange->HasPeerClosed()) {
+      if (!job->exchange->IsConnected()) {
         ++cancelled;
         tasks.Cancel(job->timer);
         job = running.erase(job);
