--- a/libs/http/src/connection_server.cc
+++ b/libs/http/src/connection_server.cc
@@ -248,10 +248,9 @@
   if (m_closing) {
     return;
   }
-  if (m_unread.empty() && m_exchange.expired() && !m_reader.IsStarted()) {
-    m_waiting_since = m_server.loop.Now();
-  } else if (m_reader.IsHeadComplete()) {
-    // A body that makes progress is not idle.
+  const bool begins_request = m_unread.empty() && m_exchange.expired() && !m_reader.IsStarted();
+  // A body that makes progress is not idle; a head has one limit from its first byte on.
+  if (begins_request || m_reader.IsHeadComplete()) {
     m_waiting_since = m_server.loop.Now();
   }
   m_unread.append(bytes);
