--- /dev/null
+++ b/libs/gateway/src/peer_answers.cc
@@ -0,0 +1,149 @@
+#include "peer_answers.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace qh::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Rows that were current longer ago than this are not passed on: a wait, a pause and an answer. */
+constexpr milliseconds kMaxRelayAge{2500};
+
+/** How long after the store's return other VMs are told of it. */
+constexpr milliseconds kTellOutageFor{3000};
+
+/**
+ * Bytes of rows that are passed on. More would hold up a VM with a slow link that passes them to
+ * fifty others, while the store's link carries them to all at once.
+ */
+constexpr std::size_t kMaxRelayedBytes = 32 * 1024;
+
+std::uint64_t NumberOf(const std::string& path, const char* name) {
+  const std::string text = http::QueryParameter(path, name).value_or("");
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+}  // namespace
+
+const TableState& PeerAnswers::StateOf(const std::string& table) const {
+  static const TableState unknown;
+  const auto found = m_state.tables.find(table);
+  return found == m_state.tables.end() ? unknown : found->second;
+}
+
+/** Only what was read from the store itself is passed on: VMs never wait for each other. */
+bool PeerAnswers::IsFresh(const TableState& state) const {
+  return state.from_store && state.fresh_at.has_value() &&
+         m_loop.Now() - *state.fresh_at <= kMaxRelayAge;
+}
+
+void PeerAnswers::AnswerWith(http::ServerExchange& exchange, const TableState& state,
+                             const store::TableRows& rows) const {
+  std::size_t bytes = 0;
+  for (const store::StoredRow& row : rows.rows) {
+    bytes += row.value.size();
+  }
+  if (bytes > kMaxRelayedBytes) {
+    exchange.Respond({kRelayTooLarge, {}, "", false});
+    return;
+  }
+  const TimePoint now = m_loop.Now();
+  RelayedRows relayed{rows, now - *state.fresh_at, std::nullopt};
+  if (m_state.store_back_at.has_value() && now - *m_state.store_back_at < kTellOutageFor) {
+    relayed.since_outage = now - *m_state.store_back_at;
+  }
+  exchange.Respond({kRelayOk, {}, EncodeRows(relayed), false});
+}
+
+void PeerAnswers::TurnAway(http::ServerExchange& exchange, const TableState& state) const {
+  if (m_state.store_failing_since.has_value()) {
+    exchange.Respond({kRelayNotFresh, {}, "", false});
+    return;
+  }
+  const std::string reader =
+      state.reader.vm.empty() ? "" : state.reader.vm + " " + ToString(state.reader.endpoint);
+  exchange.Respond({kRelayNotReader, {}, reader, false});
+}
+
+void PeerAnswers::Answer(std::shared_ptr<http::ServerExchange> exchange) {
+  const std::string& path = exchange->Request().path;
+  const std::string table = http::QueryParameter(path, "table").value_or("");
+  const TableState& state = StateOf(table);
+  if (!IsFresh(state)) {
+    TurnAway(*exchange, state);
+    return;
+  }
+  if (!http::QueryParameter(path, "after").has_value()) {
+    AnswerWith(*exchange, state, state.rows.All());
+    return;
+  }
+  const std::uint64_t after = NumberOf(path, "after");
+  const auto changes = state.rows.ChangesSince(after);
+  if (!changes.has_value()) {
+    exchange->Respond({kRelayGone, {}, "", false});
+  } else if (!changes->rows.empty()) {
+    AnswerWith(*exchange, state, *changes);
+  } else {
+    const std::uint64_t wait = std::min<std::uint64_t>(kPeerWait.count(), NumberOf(path, "wait"));
+    m_waiters.push_back({std::move(exchange), table, after, m_loop.Now() + milliseconds(wait)});
+  }
+}
+
+void PeerAnswers::OnRows(const std::string& table) {
+  const TableState& state = StateOf(table);
+  std::vector<Waiter> kept;
+  for (Waiter& waiter : std::exchange(m_waiters, {})) {
+    if (waiter.table != table) {
+      kept.push_back(std::move(waiter));
+      continue;
+    }
+    const auto changes = state.rows.ChangesSince(waiter.after);
+    if (!changes.has_value()) {
+      waiter.exchange->Respond({kRelayGone, {}, "", false});
+    } else if (!changes->rows.empty()) {
+      AnswerWith(*waiter.exchange, state, *changes);
+    } else {
+      kept.push_back(std::move(waiter));
+    }
+  }
+  m_waiters = std::move(kept);
+}
+
+void PeerAnswers::OnStoreFailed(const std::string& table) {
+  std::vector<Waiter> kept;
+  for (Waiter& waiter : std::exchange(m_waiters, {})) {
+    if (waiter.table == table) {
+      TurnAway(*waiter.exchange, StateOf(table));
+    } else {
+      kept.push_back(std::move(waiter));
+    }
+  }
+  m_waiters = std::move(kept);
+}
+
+void PeerAnswers::Tick() {
+  std::vector<Waiter> kept;
+  for (Waiter& waiter : std::exchange(m_waiters, {})) {
+    if (!waiter.exchange->IsConnected()) {
+      continue;
+    }
+    if (m_loop.Now() < waiter.until) {
+      kept.push_back(std::move(waiter));
+      continue;
+    }
+    const TableState& state = StateOf(waiter.table);
+    if (IsFresh(state)) {
+      AnswerWith(*waiter.exchange, state, {{}, state.rows.Version()});
+    } else {
+      TurnAway(*waiter.exchange, state);
+    }
+  }
+  m_waiters = std::move(kept);
+}
+
+}  // namespace qh::gateway
