Go on with a request whose first attempt fails while a second worker is looked for

Cause, found by reading: a second opinion that finds no fast worker, or no token of the retry budget, was given up without looking whether the first attempt had failed in the meantime; the request then waited for its deadline.

--- a/libs/gateway/src/call_task.cc
+++ b/libs/gateway/src/call_task.cc
@@ -94,8 +94,7 @@
   const bool is_good = worker != nullptr && m_context.picker.IsGood(*worker, now);
   if (m_picking_second_opinion && pick.step != PickStep::kProbe && !is_good) {
     // The first worker may still be the best one.
-    m_picking = false;
-    m_picking_second_opinion = false;
+    AbandonSecondOpinion();
     return;
   }
   switch (pick.step) {
@@ -165,7 +164,7 @@
   const bool is_repeat = !m_attempts.empty();
   if (is_repeat && !m_context.budgets.TryTake(m_terms.service)) {
     if (m_picking_second_opinion) {
-      m_picking_second_opinion = false;
+      AbandonSecondOpinion();
       return;
     }
     AnswerFailure("retry budget is spent");
@@ -334,6 +333,13 @@
   PickWorker();
 }
 
+void CallTask::AbandonSecondOpinion() {
+  m_picking = false;
+  m_picking_second_opinion = false;
+  // The first attempt may have failed while a worker for the second was looked for.
+  AfterFailedAttempt();
+}
+
 void CallTask::OnDeadline() {
   if (m_finished) {
     return;
--- a/libs/gateway/src/call_task.h
+++ b/libs/gateway/src/call_task.h
@@ -58,6 +58,7 @@
   void AfterFailedAttempt();
   bool MayRepeat() const;
   void StartSecondOpinion();
+  void AbandonSecondOpinion();
   void OnDeadline();
   void OnCallerGone();
   void AnswerWorkerResponse(const http::HttpResponse& response, const char* reason);
--- a/libs/gateway/test/test_calls.cc
+++ b/libs/gateway/test/test_calls.cc
@@ -75,6 +75,15 @@
   /** Requests that were begun, without probes. */
   std::vector<http::HttpRequest> run;
   int left_connections = 0;
+  bool answers_probes = true;
+  int probes = 0;
+
+  /** Closes all connections, as a worker that loses its answers does. */
+  void BreakConnections() {
+    for (const auto& open : m_connections) {
+      open->tcp.reset();
+    }
+  }
 
   void OnBytes(std::string_view /*bytes*/) override {}
   void OnEnd(net::TcpEnd /*end*/, const Error& /*error*/) override {}
@@ -110,6 +119,10 @@
 
   void Handle(Connection& connection, const http::HttpRequest& request) {
     if (request.path == "/health") {
+      ++probes;
+      if (!answers_probes) {
+        return;
+      }
       connection.Send(200, "", "", "");
       return;
     }
@@ -184,7 +197,8 @@
                                                       http::ClientConnectionOptions{});
   }
 
-  void Configure(routes::RouteKind kind, std::chrono::milliseconds timeout = 20s) {
+  void Configure(routes::RouteKind kind, std::chrono::milliseconds timeout = 20s,
+                 std::chrono::milliseconds target_latency = 10s) {
     routes::ServiceConfiguration configuration;
     configuration.version = 1;
     configuration.services = {{"katalog", "/health", 220}};
@@ -194,7 +208,7 @@
     route.prefix = "/a/";
     route.kind = kind;
     route.timeout = timeout;
-    route.target_latency = 10s;
+    route.target_latency = target_latency;
     route.max_attempts = 2;
     route.targets = {{"katalog", 1}};
     configuration.routes = {route};
@@ -365,6 +379,27 @@
   }
 }
 
+SCENARIO("A first attempt that fails while a second worker is looked for is not forgotten") {
+  Fixture fixture;
+  fixture.Configure(routes::RouteKind::kSafe, 20s, 400ms);
+  fixture.first.behaviour = Behaviour::kNeverAnswer;
+  fixture.second.load = "6,3,6,100";
+  std::optional<http::HttpCallResult> result;
+  fixture.caller->Start(fixture.Request(),
+                        [&](http::HttpCallResult value) { result = std::move(value); });
+  fixture.RunUntil([&] { return fixture.first.run.size() == 1; });
+  // The second worker's machine does not answer the probe for the second attempt.
+  fixture.second.answers_probes = false;
+  const int probes = fixture.second.probes;
+  const TimePoint sent_at = fixture.loop.Now();
+  fixture.RunUntil([&] { return fixture.second.probes > probes; });
+  fixture.first.BreakConnections();
+  fixture.RunUntil([&] { return result.has_value(); });
+  REQUIRE(std::holds_alternative<http::HttpResponse>(*result));
+  // Half of the caller's time: the request did not wait for its deadline.
+  CHECK(fixture.loop.Now() - sent_at < 7500ms);
+}
+
 SCENARIO("Nobody works for a caller who has left, or past the deadline") {
   Fixture fixture;
   WHEN("the caller leaves") {
