--- a/libs/dispatch/src/worker_picker.cc
+++ b/libs/dispatch/src/worker_picker.cc
@@ -51,7 +51,8 @@
     slowdown *= m_options.cold_slowdown;
   }
   const int slots = std::max(1, worker.record.slots);
-  const double turns_to_wait = std::max(0, Occupancy(worker) + 1 - slots) / static_cast<double>(slots);
+  const double turns_to_wait =
+      std::max(0, Occupancy(worker) + 1 - slots) / static_cast<double>(slots);
   double factor = slowdown * (1 + turns_to_wait);
   // One failure in sight of many good responses is no reason to avoid a worker; several are.
   factor *= 1 + FailureWeight(worker, now);
@@ -73,9 +74,8 @@
   for (WorkerStatus* worker : registry.Usable(request.service)) {
     if (request.excluded.count(worker->record.id) == 0) {
       const microseconds expected = ExpectedTime(*worker, request, now);
-      candidates.push_back(
-          {worker, microseconds(static_cast<std::int64_t>(
-                       static_cast<double>(expected.count()) * Jitter(random)))});
+      candidates.push_back({worker, microseconds(static_cast<std::int64_t>(
+                                        static_cast<double>(expected.count()) * Jitter(random)))});
     }
   }
   if (candidates.empty()) {
--- a/libs/dispatch/src/worker_registry.cc
+++ b/libs/dispatch/src/worker_registry.cc
@@ -232,8 +232,7 @@
   if (worker.failure_weight <= 0) {
     return 0;
   }
-  const double halvings =
-      std::chrono::duration<double>(now - worker.failed_at) / kFailureHalfLife;
+  const double halvings = std::chrono::duration<double>(now - worker.failed_at) / kFailureHalfLife;
   return worker.failure_weight * std::exp2(-halvings);
 }
 
--- a/libs/gossip/include/quetzalhinge/gossip/gossip_task.h
+++ b/libs/gossip/include/quetzalhinge/gossip/gossip_task.h
@@ -65,7 +65,8 @@
   /** Sets the gossip addresses of the platform's list; the settings' seeds are kept beside them. */
   void SetListedPeers(const std::vector<IpEndpoint>& peers);
 
-  /** Sets the number of entry VMs of the deployment, which decides when a silent one is left out. */
+  /** Sets the number of entry VMs of the deployment, which decides when a silent one is left out.
+   */
   void SetVmCount(std::size_t vm_count);
 
   /** Sets the own state; a change is told to some peers at once. */
--- a/libs/logging/src/log.cc
+++ b/libs/logging/src/log.cc
@@ -3,10 +3,10 @@
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/make_shared.hpp>
 #include <chrono>
@@ -75,10 +75,9 @@
   namespace expr = boost::log::expressions;
   ProcessName() = process;
   boost::log::core::get()->add_global_attribute("TimeStamp", boost::log::attributes::utc_clock());
-  const auto format = expr::stream
-                      << expr::format_date_time<boost::posix_time::ptime>("TimeStamp",
-                                                                          "%Y-%m-%dT%H:%M:%S.%fZ")
-                      << " " << expr::attr<Level>("Severity") << " " << expr::smessage;
+  const auto format = expr::stream << expr::format_date_time<boost::posix_time::ptime>(
+                                          "TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
+                                   << " " << expr::attr<Level>("Severity") << " " << expr::smessage;
   if (output == LogOutput::kStandardError) {
     boost::log::add_console_log(std::cerr, boost::log::keywords::format = format,
                                 boost::log::keywords::auto_flush = true);
--- a/libs/logging/src/non_blocking_output.h
+++ b/libs/logging/src/non_blocking_output.h
@@ -11,8 +11,8 @@
  */
 class NonBlockingOutput
     : public boost::log::sinks::basic_formatted_sink_backend<
-          char, boost::log::sinks::combine_requirements<
-                    boost::log::sinks::synchronized_feeding>::type> {
+          char,
+          boost::log::sinks::combine_requirements<boost::log::sinks::synchronized_feeding>::type> {
  public:
   NonBlockingOutput();
 
--- a/libs/settings/include/quetzalhinge/settings/settings_reader.h
+++ b/libs/settings/include/quetzalhinge/settings/settings_reader.h
@@ -38,8 +38,9 @@
                 std::optional<double> fallback = std::nullopt);
 
   /**
-   * Returns a duration within [min, max], written as a number with the unit ms, s or min, for example
-   * "250 ms" or "2.5s", rounded to whole milliseconds; without `fallback` the key is required.
+   * Returns a duration within [min, max], written as a number with the unit ms, s or min, for
+   * example "250 ms" or "2.5s", rounded to whole milliseconds; without `fallback` the key is
+   * required.
    */
   std::chrono::milliseconds Time(const std::string& section, const std::string& key,
                                  std::chrono::milliseconds min, std::chrono::milliseconds max,
