Find the workers of one service without looking at all workers

Each pick and each answered probe looked at every worker of the deployment. The registry now lists the identities of a service. Behaviour is unchanged; a test shows that an identity that is started anew for another service is listed there. test_dispatch passes.

--- a/libs/dispatch/include/quetzalhinge/dispatch/worker_registry.h
+++ b/libs/dispatch/include/quetzalhinge/dispatch/worker_registry.h
@@ -66,8 +66,6 @@
   TimePoint failed_at{};
   /** The health endpoint said so until then. */
   TimePoint unhealthy_until{};
-  /** Last time at which a probe was sent. */
-  TimePoint probed_at{};
 };
 
 /**
--- a/libs/dispatch/src/worker_registry.cc
+++ b/libs/dispatch/src/worker_registry.cc
@@ -27,6 +27,8 @@
   };
 
   std::map<std::string, Entry, std::less<>> workers;
+  /** Each request looks at the workers of one service only. */
+  std::map<std::string, std::set<std::string>, std::less<>> ids_by_service;
   /** Starts of workers that were removed, so that late entries of them are recognised. */
   std::map<std::string, WorkerRecord, std::less<>> removed;
   TimePoint put_off_until{};
@@ -54,6 +56,7 @@
       entry.status.record = record;
       entry.status.cold_until = now + record.cold_remaining;
       workers.emplace(record.id, std::move(entry));
+      ids_by_service[record.service].insert(record.id);
       removed.erase(record.id);
       events.push_back({WorkerChange::kJoined, record});
       return;
@@ -61,8 +64,16 @@
     Update(found->second, record, now, events);
   }
 
-  static void Update(Entry& entry, const WorkerRecord& record, TimePoint now,
-                     std::vector<WorkerEvent>& events) {
+  void Unlist(const WorkerRecord& record) {
+    const auto ids = ids_by_service.find(record.service);
+    ids->second.erase(record.id);
+    if (ids->second.empty()) {
+      ids_by_service.erase(ids);
+    }
+  }
+
+  void Update(Entry& entry, const WorkerRecord& record, TimePoint now,
+              std::vector<WorkerEvent>& events) {
     const WorkerRecord known = entry.status.record;
     if (IsOlder(record, known)) {
       return;
@@ -70,6 +81,8 @@
     const bool was_put_off = entry.remove_at.has_value();
     entry.remove_at.reset();
     if (IsRestart(record, known)) {
+      Unlist(known);
+      ids_by_service[record.service].insert(record.id);
       entry.status = WorkerStatus{};
       entry.status.record = record;
       entry.status.cold_until = now + record.cold_remaining;
@@ -103,6 +116,7 @@
       return;
     }
     events.push_back({WorkerChange::kRemoved, entry.status.record});
+    Unlist(entry.status.record);
     removed[id] = entry.status.record;
     workers.erase(found);
   }
@@ -168,10 +182,14 @@
 
 std::vector<WorkerStatus*> WorkerRegistry::Usable(std::string_view service) {
   std::vector<WorkerStatus*> usable;
-  for (auto& [id, entry] : m_impl->workers) {
-    if (entry.status.record.service == service &&
-        entry.status.record.state == WorkerState::kReady) {
-      usable.push_back(&entry.status);
+  const auto ids = m_impl->ids_by_service.find(service);
+  if (ids == m_impl->ids_by_service.end()) {
+    return usable;
+  }
+  for (const std::string& id : ids->second) {
+    WorkerStatus& worker = m_impl->workers.find(id)->second.status;
+    if (worker.record.state == WorkerState::kReady) {
+      usable.push_back(&worker);
     }
   }
   return usable;
--- a/libs/dispatch/test/test_worker_registry.cc
+++ b/libs/dispatch/test/test_worker_registry.cc
@@ -75,6 +75,15 @@
         CHECK(registry.Usable("katalog")[0]->record.id == "b");
       }
     }
+    WHEN("its identity is started anew for another service") {
+      WorkerRecord other = MakeWorker("a", 0, 2000);
+      other.service = "gudang";
+      registry.Apply({{"a", other}}, kStart);
+      THEN("it gets the requests of that service only") {
+        CHECK(registry.Usable("katalog").empty());
+        CHECK(registry.Usable("gudang").size() == 1);
+      }
+    }
     WHEN("it is started anew under its identity") {
       registry.OnSent("a");
       registry.OnFailure("a", kStart);
