Tell all VMs when a suspect request has succeeded

Cause: suspicions that a request crashes workers are shared for 60 s, but the success that clears one was known only where it was seen. A process that starts within that minute, or a VM that never runs the request, added two cleared suspicions up and quarantined an innocent request for 60 s at all VMs.

Ruled out: a successor that meets its predecessor's addresses (100 restarts beside 17 busy processes, none ended at once).

Before: a new process that reads the board quarantines the request (1 of 1). After: it does not; a request that never succeeds still is quarantined by the second worker (test_crash_notices, 8 assertions).

--- a/apps/qh-entry/src/worker_pool.cc
+++ b/apps/qh-entry/src/worker_pool.cc
@@ -337,7 +337,10 @@
     for (const auto& [number, fingerprint] : connection.in_progress) {
       fingerprints.push_back(fingerprint);
     }
-    const quarantine::CrashFindings findings = suspects.OnWorkerLost(worker, fingerprints, now);
+    PublishAll(suspects.OnWorkerLost(worker, fingerprints, now));
+  }
+
+  void PublishAll(const quarantine::CrashFindings& findings) {
     for (const membership::Notice& notice : gossip::ToNotices(findings, UnixNow())) {
       PublishCrash(notice);
     }
@@ -354,7 +357,7 @@
       classifier.Record(attempt.route, ended.latency, now);
     }
     if (outcome == RequestOutcome::kSucceeded) {
-      suspects.OnSucceeded(attempt.fingerprint, now);
+      PublishAll(suspects.OnSucceeded(attempt.fingerprint, now));
       connection.limit.OnResponse(ended.latency, attempt.profile.median, own_in_progress, now);
     } else if (outcome == RequestOutcome::kShed || outcome == RequestOutcome::kTimedOut) {
       connection.limit.OnOverload(now);
--- a/libs/gateway/src/crash_watch.cc
+++ b/libs/gateway/src/crash_watch.cc
@@ -51,7 +51,10 @@
     }
     logging::LogDecision("worker", "lost with requests in progress",
                          {{"worker", worker}, {"requests", std::to_string(lost.size())}});
-    const auto findings = suspects.OnWorkerLost(worker, lost, loop.Now());
+    Spread(suspects.OnWorkerLost(worker, lost, loop.Now()));
+  }
+
+  void Spread(const quarantine::CrashFindings& findings) {
     for (const membership::Notice& notice : gossip::ToNotices(findings, UnixNow())) {
       post_notice(notice);
     }
@@ -69,7 +72,7 @@
 void CrashWatch::OnEnded(const std::string& worker, Fingerprint fingerprint, bool succeeded) {
   m_impl->Forget(worker, fingerprint);
   if (succeeded) {
-    m_impl->suspects.OnSucceeded(fingerprint, m_impl->loop.Now());
+    m_impl->Spread(m_impl->suspects.OnSucceeded(fingerprint, m_impl->loop.Now()));
   }
 }
 
--- a/libs/gossip/src/crash_notices.cc
+++ b/libs/gossip/src/crash_notices.cc
@@ -47,6 +47,16 @@
           std::min(remaining, membership::kMaxNoticeLifetime)};
 }
 
+Notice ToNotice(const quarantine::ClearedNotice& cleared, UnixMicros now_us) {
+  const UnixMicros stamp = now_us - duration_cast<microseconds>(cleared.age).count();
+  return {NoticeKind::kClearedFingerprint,
+          ToHex(cleared.fingerprint),
+          cleared.worker,
+          0,
+          stamp,
+          kSuspectLifetime};
+}
+
 }  // namespace
 
 std::vector<Notice> ToNotices(const quarantine::CrashFindings& findings, UnixMicros now_us) {
@@ -57,6 +67,9 @@
   for (const quarantine::QuarantineNotice& quarantined : findings.quarantined) {
     notices.push_back(ToNotice(quarantined, now_us));
   }
+  for (const quarantine::ClearedNotice& cleared : findings.cleared) {
+    notices.push_back(ToNotice(cleared, now_us));
+  }
   return notices;
 }
 
@@ -73,6 +86,8 @@
     if (follow_up.has_value()) {
       return {ToNotice(*follow_up, now_us)};
     }
+  } else if (notice.kind == NoticeKind::kClearedFingerprint) {
+    suspects.OnNotice(quarantine::ClearedNotice{*fingerprint, notice.detail, age}, now);
   } else if (notice.kind == NoticeKind::kQuarantinedFingerprint) {
     const std::uint64_t times = ParseNumber(notice.detail, 10).value_or(1);
     const Duration remaining = milliseconds(notice.value) - age;
--- a/libs/membership/include/quetzalhinge/membership/notice.h
+++ b/libs/membership/include/quetzalhinge/membership/notice.h
@@ -25,14 +25,20 @@
   kSuspectFingerprint,
   /** `subject` is a request's fingerprint; `value` its quarantine in ms from the stamp on. */
   kQuarantinedFingerprint,
+  /**
+   * `subject` is a request's fingerprint that has succeeded after the loss of worker `detail`. It
+   * takes the place of the kSuspectFingerprint about both.
+   */
+  kClearedFingerprint,
 };
 
-inline constexpr EnumTable<NoticeKind, 5> kNoticeKindNames{{{
+inline constexpr EnumTable<NoticeKind, 6> kNoticeKindNames{{{
     {NoticeKind::kContractRevision, "contract_revision"},
     {NoticeKind::kWorkerLeaving, "worker_leaving"},
     {NoticeKind::kWorkerBack, "worker_back"},
     {NoticeKind::kSuspectFingerprint, "suspect_fingerprint"},
     {NoticeKind::kQuarantinedFingerprint, "quarantined_fingerprint"},
+    {NoticeKind::kClearedFingerprint, "cleared_fingerprint"},
 }}};
 
 /** News that every VM should have within seconds. */
--- a/libs/membership/src/notice_board.cc
+++ b/libs/membership/src/notice_board.cc
@@ -27,6 +27,7 @@
     case NoticeKind::kWorkerBack:
       return 1;
     case NoticeKind::kSuspectFingerprint:
+    case NoticeKind::kClearedFingerprint:
       return 0;
   }
   return 0;
@@ -108,6 +109,7 @@
     case NoticeKind::kWorkerBack:
       return {1, notice.subject, ""};
     case NoticeKind::kSuspectFingerprint:
+    case NoticeKind::kClearedFingerprint:
       return {2, notice.subject, notice.detail};
     case NoticeKind::kQuarantinedFingerprint:
       return {3, notice.subject, ""};
--- a/libs/quarantine/include/quetzalhinge/quarantine/crash_suspects.h
+++ b/libs/quarantine/include/quetzalhinge/quarantine/crash_suspects.h
@@ -33,10 +33,19 @@
   Duration remaining{};
 };
 
+/** A suspect that has succeeded since its worker was lost. */
+struct ClearedNotice {
+  Fingerprint fingerprint = 0;
+  std::string worker;
+  /** Time since the success. */
+  Duration age{};
+};
+
 /** What other VMs should learn. */
 struct CrashFindings {
   std::vector<SuspectNotice> suspects;
   std::vector<QuarantineNotice> quarantined;
+  std::vector<ClearedNotice> cleared;
 };
 
 /** Times and bounds of CrashSuspects. */
@@ -78,12 +87,19 @@
   CrashFindings OnWorkerLost(const std::string& worker, const std::vector<Fingerprint>& in_progress,
                              TimePoint now);
 
-  /** Call for each complete response: a request that succeeds does not crash its worker. */
-  void OnSucceeded(Fingerprint fingerprint, TimePoint now);
+  /**
+   * Call for each complete response: a request that succeeds does not crash its worker.
+   * @return the suspicions that this ends, to spread: VMs that have not seen the success, such as
+   * one that starts later, would add them up to a quarantine
+   */
+  CrashFindings OnSucceeded(Fingerprint fingerprint, TimePoint now);
 
   /** Learns a suspect from another VM; returns a quarantine that follows from it, to spread. */
   std::optional<QuarantineNotice> OnNotice(const SuspectNotice& notice, TimePoint now);
 
+  /** Learns from another VM that a suspect has succeeded; later crashes still count. */
+  void OnNotice(const ClearedNotice& notice, TimePoint now);
+
   /** Learns a quarantine from another VM. Repeats and older news change nothing. */
   void OnNotice(const QuarantineNotice& notice, TimePoint now);
 
--- a/libs/quarantine/src/crash_suspects.cc
+++ b/libs/quarantine/src/crash_suspects.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 #include "quarantine_table.h"
 #include "recent_successes.h"
@@ -116,10 +117,15 @@
   return findings;
 }
 
-void CrashSuspects::OnSucceeded(Fingerprint fingerprint, TimePoint now) {
+CrashFindings CrashSuspects::OnSucceeded(Fingerprint fingerprint, TimePoint now) {
+  CrashFindings findings;
+  for (Sighting& sighting : m_impl->suspects.SightingsOf(fingerprint, now)) {
+    findings.cleared.push_back({fingerprint, std::move(sighting.worker), Duration(0)});
+  }
   m_impl->successes.Note(fingerprint, now);
   m_impl->suspects.Erase(fingerprint);
   m_impl->quarantines.ForgetEnded(fingerprint, now);
+  return findings;
 }
 
 std::optional<QuarantineNotice> CrashSuspects::OnNotice(const SuspectNotice& notice,
@@ -140,6 +146,11 @@
   return std::nullopt;
 }
 
+void CrashSuspects::OnNotice(const ClearedNotice& notice, TimePoint now) {
+  const Duration age = std::max(Duration(0), notice.age);
+  m_impl->suspects.EraseSightings(notice.fingerprint, notice.worker, now - age);
+}
+
 void CrashSuspects::OnNotice(const QuarantineNotice& notice, TimePoint now) {
   m_impl->quarantines.Adopt(notice, now);
   m_impl->suspects.EraseCrashes(m_impl->suspects.SightingsOf(notice.fingerprint, now));
--- a/libs/quarantine/src/suspect_table.cc
+++ b/libs/quarantine/src/suspect_table.cc
@@ -50,6 +50,20 @@
   return current;
 }
 
+void SuspectTable::EraseSightings(Fingerprint fingerprint, const std::string& worker,
+                                  TimePoint until) {
+  const auto found = m_suspects.find(fingerprint);
+  if (found == m_suspects.end()) {
+    return;
+  }
+  std::erase_if(found->second, [&](const Sighting& sighting) {
+    return sighting.worker == worker && sighting.at <= until;
+  });
+  if (found->second.empty()) {
+    m_suspects.erase(found);
+  }
+}
+
 void SuspectTable::EraseCrashes(const std::vector<Sighting>& explained) {
   const auto is_explained = [&](const Sighting& sighting) {
     return std::any_of(explained.begin(), explained.end(),
--- a/libs/quarantine/src/suspect_table.h
+++ b/libs/quarantine/src/suspect_table.h
@@ -31,6 +31,9 @@
   /** Forgets a fingerprint. */
   void Erase(Fingerprint fingerprint) noexcept { m_suspects.erase(fingerprint); }
 
+  /** Forgets the sightings of a fingerprint at `worker` up to `until`. */
+  void EraseSightings(Fingerprint fingerprint, const std::string& worker, TimePoint until);
+
   /** Forgets the sightings of all fingerprints in the crashes that `explained` lists. */
   void EraseCrashes(const std::vector<Sighting>& explained);
 
