--- a/test/system/child_process.cc
+++ b/test/system/child_process.cc
@@ -26,6 +26,7 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
   const int status =
       posix_spawn(&m_pid, arguments[0], &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
