--- a/apps/qh-gateway/src/main.cc
+++ b/apps/qh-gateway/src/main.cc
@@ -1,9 +1,11 @@
 #include "quetzalhinge/gateway/gateway_process.h"
 #include "quetzalhinge/logging/log.h"
 #include "quetzalhinge/net/signal_watcher.h"
+#include "quetzalhinge/net/timer.h"
 #include "quetzalhinge/platform_adapter/platform_binding.h"
 #include "quetzalhinge/platform_adapter/store_client.h"
 #include "quetzalhinge/platform_adapter/wire_names.h"
+#include "quetzalhinge/settings/changing_file.h"
 #include "quetzalhinge/settings/command_line.h"
 
 namespace {
@@ -13,6 +15,9 @@
 const qh::settings::ProgramSpec kProgram{
     "qh-gateway", "Serves callers on an entry VM of the shared platform, in one process.", "", {}};
 
+/** How often the settings file is looked at, which may change without a signal. */
+constexpr std::chrono::milliseconds kSettingsCheckInterval{2000};
+
 qh::gateway::GatewaySettingsResult ReadSettings(const std::string& file) {
   return qh::gateway::ParseGatewaySettings(qh::settings::ReadIniFile(file));
 }
@@ -33,7 +38,17 @@
     return static_cast<int>(ExitCode::kRuntimeFailure);
   }
   qh::net::SignalWatcher signals(loop, [&](int count) { process.OnStopSignal(count); });
-  signals.OnReloadSignal([&] { process.OnReloadSignal(); });
+  qh::settings::ChangingFile settings_file(file);
+  signals.OnReloadSignal([&] {
+    settings_file.HasChanged();  // The change that the signal tells of is read now.
+    process.Reload();
+  });
+  qh::net::Timer settings_check(loop, [&] {
+    if (settings_file.HasChanged()) {
+      process.Reload();
+    }
+  });
+  settings_check.StartRepeating(kSettingsCheckInterval);
   loop.Run();
   return static_cast<int>(process.Exit());
 }
--- a/libs/gateway/include/quetzalhinge/gateway/gateway_process.h
+++ b/libs/gateway/include/quetzalhinge/gateway/gateway_process.h
@@ -41,7 +41,7 @@
   store::TableStore& store;
   StoreLayout layout;
   CallHeaders headers;
-  /** Reads the settings again, after a signal. */
+  /** Reads the settings again. */
   std::function<GatewaySettingsResult()> read_settings;
 };
 
@@ -61,7 +61,7 @@
   void OnStopSignal(int count);
 
   /** Reads the settings again and applies what can change while the process runs. */
-  void OnReloadSignal();
+  void Reload();
 
   /** Returns how the process ended. */
   settings::ExitCode Exit() const noexcept;
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -485,7 +485,7 @@
   }
 }
 
-void GatewayProcess::OnReloadSignal() { m_impl->Reload(); }
+void GatewayProcess::Reload() { m_impl->Reload(); }
 
 settings::ExitCode GatewayProcess::Exit() const noexcept { return m_impl->exit; }
 
