--- a/libs/gateway/include/quetzalhinge/gateway/row_copy.h
+++ b/libs/gateway/include/quetzalhinge/gateway/row_copy.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "quetzalhinge/base/error.h"
@@ -11,13 +13,19 @@
 
 namespace qh::gateway {
 
+/**
+ * Bytes of rows that are passed on. More would hold up a VM with a slow link that passes them to
+ * fifty others, while the store's link carries them to all at once.
+ */
+inline constexpr std::size_t kMaxRelayedBytes = 32 * 1024;
+
 /** The raw rows of one table as they were read, so that they can be passed on. */
 class RowCopy {
  public:
   /** Takes rows: all of the table, or those that have changed. */
   void Take(const store::TableRows& rows, bool is_whole);
 
-  /** Returns all rows. */
+  /** Returns all rows; those that Withholds() names have no value. */
   store::TableRows All() const;
 
   /**
@@ -26,6 +34,9 @@
    */
   std::optional<store::TableRows> ChangesSince(std::uint64_t after) const;
 
+  /** Returns whether `rows` has one whose value is too large to be passed on, and is not kept. */
+  bool Withholds(const store::TableRows& rows) const;
+
   /** Returns the store version that the copy reflects; 0 if nothing was taken. */
   std::uint64_t Version() const noexcept { return m_version; }
 
@@ -33,7 +44,11 @@
   std::uint64_t NewestChange() const noexcept { return m_newest_change; }
 
  private:
+  void Keep(const store::StoredRow& row);
+
   std::map<std::string, store::StoredRow> m_rows;
+  /** Keys of the rows whose value is not kept. */
+  std::set<std::string> m_withheld;
   /** Removed rows by the version of their removal. */
   std::map<std::uint64_t, store::StoredRow> m_removed;
   /** Removals after this version are all known. */
--- a/libs/gateway/src/peer_answers.cc
+++ b/libs/gateway/src/peer_answers.cc
@@ -15,12 +15,6 @@
 /** How long after the store's return other VMs are told of it. */
 constexpr milliseconds kTellOutageFor{3000};
 
-/**
- * Bytes of rows that are passed on. More would hold up a VM with a slow link that passes them to
- * fifty others, while the store's link carries them to all at once.
- */
-constexpr std::size_t kMaxRelayedBytes = 32 * 1024;
-
 std::uint64_t NumberOf(const std::string& path, const char* name) {
   const std::string text = http::QueryParameter(path, name).value_or("");
   std::uint64_t number = 0;
@@ -48,7 +42,7 @@
   for (const store::StoredRow& row : rows.rows) {
     bytes += row.value.size();
   }
-  if (bytes > kMaxRelayedBytes) {
+  if (bytes > kMaxRelayedBytes || state.rows.Withholds(rows)) {
     exchange.Respond({kRelayTooLarge, {}, "", false});
     return;
   }
--- a/libs/gateway/src/row_copy.cc
+++ b/libs/gateway/src/row_copy.cc
@@ -16,6 +16,7 @@
 void RowCopy::Take(const store::TableRows& rows, bool is_whole) {
   if (is_whole) {
     m_rows.clear();
+    m_withheld.clear();
     m_removed.clear();
     m_removals_known_since = rows.version;
   }
@@ -23,9 +24,10 @@
     m_newest_change = std::max(m_newest_change, row.version);
     if (row.removed) {
       m_rows.erase(row.key);
+      m_withheld.erase(row.key);
       m_removed[row.version] = row;
     } else {
-      m_rows[row.key] = row;
+      Keep(row);
     }
   }
   while (m_removed.size() > kMaxRemoved) {
@@ -35,6 +37,23 @@
   m_version = std::max(m_version, rows.version);
 }
 
+void RowCopy::Keep(const store::StoredRow& row) {
+  if (row.value.size() <= kMaxRelayedBytes) {
+    m_withheld.erase(row.key);
+    m_rows[row.key] = row;
+    return;
+  }
+  // Memory counts at its peak, and nobody gets the value from here.
+  m_withheld.insert(row.key);
+  m_rows[row.key] = {row.key, "", row.version, false};
+}
+
+bool RowCopy::Withholds(const store::TableRows& rows) const {
+  return std::any_of(rows.rows.begin(), rows.rows.end(), [this](const store::StoredRow& row) {
+    return m_withheld.count(row.key) != 0;
+  });
+}
+
 store::TableRows RowCopy::All() const {
   store::TableRows all;
   all.version = m_version;
--- a/libs/gateway/test/test_relay.cc
+++ b/libs/gateway/test/test_relay.cc
@@ -259,6 +259,28 @@
   THEN("it cannot tell what was removed before it was read") {
     CHECK_FALSE(copy.ChangesSince(9).has_value());
   }
+  WHEN("a row grows too large to be passed on") {
+    store::StoredRow large = MakeRow("a", 12);
+    large.value.assign(kMaxRelayedBytes + 1, 'x');
+    copy.Take({{large}, 12}, false);
+    THEN("it is told as changed, and its value is withheld") {
+      const auto changes = copy.ChangesSince(10);
+      REQUIRE(changes.has_value());
+      REQUIRE(changes->rows.size() == 1);
+      CHECK(changes->rows[0].version == 12);
+      CHECK(copy.Withholds(*changes));
+      CHECK(copy.Withholds(copy.All()));
+    }
+    THEN("other rows are passed on") {
+      copy.Take({{MakeRow("b", 13)}, 13}, false);
+      CHECK_FALSE(copy.Withholds(*copy.ChangesSince(12)));
+    }
+    THEN("it is passed on again when it has shrunk") {
+      copy.Take({{MakeRow("a", 14)}, 14}, false);
+      CHECK_FALSE(copy.Withholds(copy.All()));
+      CHECK(copy.All().rows[0].value == MakeRow("a", 14).value);
+    }
+  }
   WHEN("rows change and go") {
     copy.Take({{MakeRow("a", 12), MakeRemoval("b", 13)}, 14}, false);
     THEN("both are told, in their order") {
