Accept a retry slack that is no whole number, and share it among many VMs

Cause: the platform's bounds may be fractions, but the slack was read as a whole number. With more VMs than the slack has repeats each VM could still save up one, which breaks the bound when all requests fail at once.

Change: the slack is a number; where it gives a VM less than one repeat, a part of the VMs, chosen by a hash of their names, saves one up.

--- a/libs/gateway/include/quetzalhinge/gateway/gateway_settings.h
+++ b/libs/gateway/include/quetzalhinge/gateway/gateway_settings.h
@@ -36,7 +36,7 @@
   /** Most repeats that a worker may get, as a share of the requests for its service. */
   double retry_share = 0.2;
   /** Repeats beyond the share within `retry_window`, over all VMs. */
-  int retry_slack = 10;
+  double retry_slack = 10;
 
   /** Longest time for which callers may keep an address answer. */
   std::chrono::milliseconds max_address_ttl{5000};
--- a/libs/gateway/include/quetzalhinge/gateway/retry_budgets.h
+++ b/libs/gateway/include/quetzalhinge/gateway/retry_budgets.h
@@ -13,7 +13,7 @@
   /** Repeats as a share of the requests for a service. */
   double share = 0.2;
   /** Repeats beyond the share in any window, over all VMs. */
-  int slack = 10;
+  double slack = 10;
 };
 
 /**
@@ -23,7 +23,8 @@
  */
 class RetryBudgets {
  public:
-  explicit RetryBudgets(const RetryBudgetOptions& options);
+  /** @param vm name of this VM; decides whether it saves up where not every VM may */
+  RetryBudgets(const RetryBudgetOptions& options, const std::string& vm);
 
   /** Applies other options. */
   void SetOptions(const RetryBudgetOptions& options);
@@ -43,6 +44,8 @@
   retries::RetryBudget& BudgetOf(const std::string& service);
 
   RetryBudgetOptions m_options;
+  /** Where this VM stands among all, from 0 to 1. */
+  double m_rank;
   std::size_t m_vm_count;
   std::map<std::string, retries::RetryBudget> m_budgets;
 };
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -139,7 +139,7 @@
         links(loop, metrics, environment.headers, environment.decoder, registry, routes),
         gossip(loop, random, metrics, GossipOptionsOf(settings), *this),
         crashes(loop, links, [this](const membership::Notice& notice) { gossip.Post(notice); }),
-        budgets({settings.retry_share, settings.retry_slack}),
+        budgets({settings.retry_share, settings.retry_slack}, settings.name),
         context{settings.zone, loop,  random,  metrics, environment.headers, routes, registry,
                 picker,        links, crashes, budgets},
         calls(context),
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -9,6 +9,8 @@
 using std::chrono::milliseconds;
 
 constexpr int kMaxPort = 65535;
+/** More than all VMs can send in a window of seconds. */
+constexpr double kMaxSlack = 1e6;
 
 IpEndpoint ReadInternal(settings::SettingsReader& reader) {
   IpEndpoint endpoint;
@@ -42,8 +44,7 @@
   settings.gossip_interval = reader.Time("gossip", "interval", milliseconds(50),
                                          milliseconds(10000), settings.gossip_interval);
   settings.retry_share = reader.Number("retries", "share", 0, 1, settings.retry_share);
-  settings.retry_slack =
-      static_cast<int>(reader.Integer("retries", "slack", 0, 1'000'000, settings.retry_slack));
+  settings.retry_slack = reader.Number("retries", "slack", 0, kMaxSlack, settings.retry_slack);
   settings.max_address_ttl = reader.Time("callers", "max_address_ttl", milliseconds(1),
                                          milliseconds(600000), settings.max_address_ttl);
   settings.stop_grace =
--- a/libs/gateway/src/retry_budgets.cc
+++ b/libs/gateway/src/retry_budgets.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "quetzalhinge/base/hash.h"
+
 namespace qh::gateway {
 namespace {
 
@@ -14,10 +16,16 @@
 /** VMs that are assumed until more are heard of. */
 constexpr std::size_t kAssumedVmCount = 20;
 
+/** Returns a number from 0 to 1 that is spread evenly over the VMs. */
+double RankOf(const std::string& vm) {
+  constexpr std::uint64_t kSteps = 10000;
+  return static_cast<double>(HashBytes(vm) % kSteps) / static_cast<double>(kSteps);
+}
+
 }  // namespace
 
-RetryBudgets::RetryBudgets(const RetryBudgetOptions& options)
-    : m_options(options), m_vm_count(kAssumedVmCount) {}
+RetryBudgets::RetryBudgets(const RetryBudgetOptions& options, const std::string& vm)
+    : m_options(options), m_rank(RankOf(vm)), m_vm_count(kAssumedVmCount) {}
 
 void RetryBudgets::SetOptions(const RetryBudgetOptions& options) {
   m_options = options;
@@ -40,7 +48,8 @@
 
 std::uint32_t RetryBudgets::Capacity() const noexcept {
   const double part = m_options.slack * kUsedPartOfSlack / static_cast<double>(m_vm_count);
-  return static_cast<std::uint32_t>(std::max(1.0, part));
+  // With less than one repeat for each VM only a part of the VMs may save one up.
+  return part >= 1 ? static_cast<std::uint32_t>(part) : m_rank < part ? 1 : 0;
 }
 
 retries::RetryBudget& RetryBudgets::BudgetOf(const std::string& service) {
--- a/libs/gateway/test/test_calls.cc
+++ b/libs/gateway/test/test_calls.cc
@@ -177,7 +177,7 @@
   std::vector<membership::Notice> notices;
   CrashWatch crashes{loop, links,
                      [this](const membership::Notice& notice) { notices.push_back(notice); }};
-  RetryBudgets budgets{{1.0, 1000}};
+  RetryBudgets budgets{{1.0, 1000}, "vm-1"};
   CallContext context{"here",   loop,   random, metrics, headers, routes,
                       registry, picker, links,  crashes, budgets};
   CallService service{context};
--- a/libs/gateway/test/test_decisions.cc
+++ b/libs/gateway/test/test_decisions.cc
@@ -56,9 +56,10 @@
   constexpr int kSlack = 58;
   constexpr double kShare = 0.2;
   constexpr int kWindowSeconds = 10;
-  std::vector<RetryBudgets> vms(kVms, RetryBudgets({kShare, kSlack}));
-  for (RetryBudgets& vm : vms) {
-    vm.OnVmCount(kVms);
+  std::vector<RetryBudgets> vms;
+  for (int i = 0; i < kVms; ++i) {
+    vms.emplace_back(RetryBudgetOptions{kShare, kSlack}, "front-" + std::to_string(i));
+    vms.back().OnVmCount(kVms);
   }
   std::mt19937 random(20261204);
   std::deque<std::pair<int, int>> window;  // requests and repeats of each second
@@ -87,6 +88,27 @@
   }
 }
 
+SCENARIO("The retry budgets of more VMs than the slack has repeats keep the bound") {
+  // Pattern: all VMs have saved up, then each sends one request that fails.
+  constexpr int kVms = 300;
+  constexpr double kSlack = 100;
+  constexpr double kShare = 0.2;
+  constexpr int kSavingRequests = 20;
+  int repeats = 0;
+  for (int i = 0; i < kVms; ++i) {
+    RetryBudgets vm({kShare, kSlack}, "front-" + std::to_string(i));
+    vm.OnVmCount(kVms);
+    for (int request = 0; request < kSavingRequests; ++request) {
+      vm.OnFirstAttempt("katalog");
+    }
+    // The window begins here: the requests before have left it.
+    vm.OnFirstAttempt("katalog");
+    repeats += vm.TryTake("katalog") ? 1 : 0;
+  }
+  CHECK(repeats <= kShare * kVms + kSlack);
+  CHECK(repeats > 0);
+}
+
 SCENARIO("Settings are checked in full before anything starts") {
   const std::string good =
       "[vm]\nname = vm-1\nzone = z\nregion = r\n"
@@ -100,6 +122,9 @@
   CHECK(problems(good) == 0);
   CHECK(problems(good + "[stop]\ngrace = 2.5s\n") == 0);
   CHECK(problems(good + "[stop]\ngrace = 6\n") == 1);
+  // Bounds of a fleet of another size need not be whole numbers.
+  CHECK(problems(good + "[retries]\nslack = 21.70212765957447\n") == 0);
+  CHECK(problems(good + "[retries]\nslack = -1\n") == 1);
   CHECK(problems(good + "[retries]\nshare = 1.5\nslak = 3\n") == 2);
   CHECK(problems("[vm]\nname = vm-1\n") > 5);
   CHECK(problems(good + "[gossip2]\n") == 1);
--- a/libs/gateway/test/test_retry_advice.cc
+++ b/libs/gateway/test/test_retry_advice.cc
@@ -17,6 +17,8 @@
 constexpr int kRequests = 20000;
 constexpr int kReturns = 2;
 constexpr int kMaxAttempts = 2;
+/** One VM of twenty saves up two repeats. */
+constexpr double kSlack = 60;
 
 /**
  * Workers that refuse two requests in five at random though they have room, as in a failing
@@ -26,7 +28,7 @@
 double ShareInTarget(RefusalCause advised) {
   RandomGenerator random(20261204);
   std::bernoulli_distribution refuses(kRefusedShare);
-  RetryBudgets budgets({0.2, 0});
+  RetryBudgets budgets({0.2, kSlack}, "vm-1");
   int in_target = 0;
   for (int i = 0; i < kRequests; ++i) {
     milliseconds time(0);
