--- a/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
@@ -54,6 +54,9 @@
   /** Returns whether rows of `table` were last read from the store itself. */
   bool ReadsStore(const std::string& table) const;
 
+  /** Returns whether this VM would read the store itself now, as far as it knows the others. */
+  bool WouldReadStore() const;
+
   /** Returns the version of the newest change seen in `table`. */
   std::uint64_t NewestChange(const std::string& table) const;
 
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -124,6 +124,7 @@
   net::Timer first_read_timer;
   net::Timer news_timer;
   bool reading = false;
+  bool waited_for_reader = false;
   bool worker_has_left = false;
   /** Newest change that another VM has told of. */
   std::uint64_t newest_change_heard = 0;
@@ -154,7 +155,7 @@
                         [this](auto exchange) { AnswerInternal(exchange); }),
         tick(loop, [this] { Tick(); }),
         register_timer(loop, [this] { Register(); }),
-        first_read_timer(loop, [this] { StartReading(); }),
+        first_read_timer(loop, [this] { StartReadingInTurn(); }),
         news_timer(loop, [this] { CheckNews(); }) {
     // After a restart under load there is no time to wait for peers first.
     calls.OnEarlyCaller([this] { StartReading(); });
@@ -191,6 +192,19 @@
 
   // The store
 
+  /**
+   * VMs that start together all know nothing: those that are to read the store begin, and the
+   * others give them time to have rows to pass on.
+   */
+  void StartReadingInTurn() {
+    const bool has_source = relayed_store.WouldReadStore() || newest_change_heard > 0;
+    if (!has_source && !std::exchange(waited_for_reader, true)) {
+      first_read_timer.StartOnce(kFirstReadDelay);
+    } else {
+      StartReading();
+    }
+  }
+
   void StartReading() {
     if (!reading) {
       reading = true;
@@ -367,7 +381,10 @@
   // GossipObserver
 
   void OnPeerHeard(const MemberRecord& peer, TimePoint /*observed_at*/) override {
-    StartReading();
+    if (!reading && peer.revision > 0) {
+      // It, or the VM that it hears from, passes rows on. Not now: it is not among the peers yet.
+      first_read_timer.StartOnce(milliseconds(0));
+    }
     HearOfChange(peer.revision);
   }
 
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -389,6 +389,10 @@
 
 void RelayedStore::Tick() { m_impl->answers.Tick(); }
 
+bool RelayedStore::WouldReadStore() const {
+  return m_impl->selector.Choose(m_impl->loop.Now()).source == RelayChoice::Source::kStore;
+}
+
 bool RelayedStore::ReadsStore(const std::string& table) const {
   const auto found = m_impl->state.tables.find(table);
   return found != m_impl->state.tables.end() && found->second.from_store;
--- a/libs/gateway/test/test_relay.cc
+++ b/libs/gateway/test/test_relay.cc
@@ -355,6 +355,14 @@
       CHECK(ValueOf(*at_other).rows[0].key == "b");
     }
   }
+  WHEN("they have just started") {
+    RelayVm alone(loop, store, "alone");
+    THEN("only those that know of no better reader would read the store") {
+      CHECK(reader.store.WouldReadStore());
+      CHECK_FALSE(other.store.WouldReadStore());
+      CHECK(alone.store.WouldReadStore());
+    }
+  }
   WHEN("rows are too large to pass on") {
     store.Put("big", std::string(40 * 1024, 'x'));
     std::optional<Result<store::TableRows>> at_reader;
