--- a/libs/gateway/include/quetzalhinge/gateway/retry_advice.h
+++ b/libs/gateway/include/quetzalhinge/gateway/retry_advice.h
@@ -19,8 +19,7 @@
  * times, so that they do not return together. Where there is room, the next request will probably
  * be served, and a short wait lets it meet its target; without room, slots have to become free.
  */
-std::chrono::milliseconds AdviseReturn(RefusalCause cause,
-                                       std::chrono::milliseconds target_latency,
+std::chrono::milliseconds AdviseReturn(RefusalCause cause, std::chrono::milliseconds target_latency,
                                        RandomGenerator& random);
 
 }  // namespace qh::gateway
--- a/libs/gateway/src/call_task.cc
+++ b/libs/gateway/src/call_task.cc
@@ -33,10 +33,10 @@
 
 constexpr int kFirstFailureStatus = 300;
 
-
 std::string FormatSeconds(milliseconds time) {
   constexpr int kMillisPerSecond = 1000;
-  const std::string thousandths = std::to_string(kMillisPerSecond + time.count() % kMillisPerSecond);
+  const std::string thousandths =
+      std::to_string(kMillisPerSecond + time.count() % kMillisPerSecond);
   return std::to_string(time.count() / kMillisPerSecond) + "." + thousandths.substr(1);
 }
 
@@ -386,8 +386,8 @@
 }
 
 void CallTask::Refuse(const char* reason) {
-  const RefusalCause cause = m_was_refused_despite_room ? RefusalCause::kRefusedDespiteRoom
-                                                         : RefusalCause::kNoRoom;
+  const RefusalCause cause =
+      m_was_refused_despite_room ? RefusalCause::kRefusedDespiteRoom : RefusalCause::kNoRoom;
   const milliseconds wait = AdviseReturn(cause, m_terms.route.target_latency, m_context.random);
   Finish(http::HttpResponse{503,
                             {{m_context.headers.request_id, m_terms.request_id},
--- a/libs/gateway/src/retry_advice.cc
+++ b/libs/gateway/src/retry_advice.cc
@@ -25,8 +25,8 @@
   milliseconds shortest = kShortestWaitForRoom;
   milliseconds longest = kLongestWaitForRoom;
   if (cause == RefusalCause::kRefusedDespiteRoom) {
-    const milliseconds part(static_cast<std::int64_t>(
-        static_cast<double>(target_latency.count()) * kLongestWaitPart));
+    const milliseconds part(
+        static_cast<std::int64_t>(static_cast<double>(target_latency.count()) * kLongestWaitPart));
     shortest = kShortestWait;
     longest = std::clamp(part, kShortestWait, kLongestWaitForRoom);
   }
