Leave silent VMs out of address answers sooner, and name the state in heartbeats

Silence was allowed for more than 9 s in a fleet of 131, and a VM that was suspended while a leave was told took the heartbeats of a leaving VM for those of a live one.

Change: answers leave out VMs silent for half of the time to catch up (a setting from the platform's bounds); the tag of heartbeats contains the state.

--- a/libs/gateway/include/quetzalhinge/gateway/gateway_settings.h
+++ b/libs/gateway/include/quetzalhinge/gateway/gateway_settings.h
@@ -38,6 +38,8 @@
   /** Repeats beyond the share within `retry_window`, over all VMs. */
   double retry_slack = 10;
 
+  /** A VM that is off must have left the address answers of all VMs by then. */
+  std::chrono::milliseconds catch_up{6000};
   /** Longest time for which callers may keep an address answer. */
   std::chrono::milliseconds max_address_ttl{5000};
   /** Time between the signal to stop and the end by force. */
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -42,6 +42,13 @@
 /** How long address answers may be kept, unless the settings allow less. */
 constexpr milliseconds kAddressTtl{2000};
 
+/**
+ * Part of the time to catch up after which a silent VM is left out of address answers. The rest is
+ * for heartbeats that other VMs passed on late, and for seconds in which this VM was suspended,
+ * which its clock does not count. A live VM that is left out for a moment loses little.
+ */
+constexpr double kSilencePartOfCatchUp = 0.5;
+
 /** Most addresses in an answer; callers use no more. */
 constexpr std::size_t kMaxAddresses = 64;
 
@@ -275,7 +282,9 @@
   std::vector<IpEndpoint> AddressesFor(const std::string& zone) const {
     std::vector<IpEndpoint> own_zone;
     std::vector<IpEndpoint> all;
-    for (const MemberRecord& member : gossip.Members().ServingMembers(loop.Now())) {
+    const auto max_silence =
+        std::chrono::duration_cast<Duration>(settings.catch_up * kSilencePartOfCatchUp);
+    for (const MemberRecord& member : gossip.Members().ServingMembers(loop.Now(), max_silence)) {
       if (member.state != MemberState::kLive) {
         continue;
       }
@@ -479,6 +488,7 @@
     settings.retry_share = result.settings.retry_share;
     settings.retry_slack = result.settings.retry_slack;
     settings.max_address_ttl = result.settings.max_address_ttl;
+    settings.catch_up = result.settings.catch_up;
     settings.stop_grace = result.settings.stop_grace;
     budgets.SetOptions({settings.retry_share, settings.retry_slack});
     logging::LogChange("settings", "reloaded",
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -45,6 +45,8 @@
                                          milliseconds(10000), settings.gossip_interval);
   settings.retry_share = reader.Number("retries", "share", 0, 1, settings.retry_share);
   settings.retry_slack = reader.Number("retries", "slack", 0, kMaxSlack, settings.retry_slack);
+  settings.catch_up =
+      reader.Time("callers", "catch_up", milliseconds(1), milliseconds(600000), settings.catch_up);
   settings.max_address_ttl = reader.Time("callers", "max_address_ttl", milliseconds(1),
                                          milliseconds(600000), settings.max_address_ttl);
   settings.stop_grace =
--- a/libs/membership/include/quetzalhinge/membership/member_record.h
+++ b/libs/membership/include/quetzalhinge/membership/member_record.h
@@ -84,14 +84,14 @@
  */
 struct HeartbeatDigest {
   std::uint16_t slot = 0;
-  /** GenerationTag() of the record's VM and generation. */
+  /** GenerationTag() of the record. */
   std::uint16_t generation_tag = 0;
   std::uint32_t heartbeat = 0;
 
   bool operator==(const HeartbeatDigest&) const = default;
 };
 
-/** Returns the tag that tells apart members and incarnations with the same slot. */
+/** Returns the tag that tells apart members, incarnations and states with the same slot. */
 std::uint16_t GenerationTag(const MemberRecord& record) noexcept;
 
 }  // namespace qh::membership
--- a/libs/membership/include/quetzalhinge/membership/member_table.h
+++ b/libs/membership/include/quetzalhinge/membership/member_table.h
@@ -94,6 +94,12 @@
   /** Returns this VM and all members that are live and heard from, for address answers. */
   std::vector<MemberRecord> ServingMembers(TimePoint now) const;
 
+  /**
+   * The same without members that have been silent for `max_silence`. Heartbeats of a large fleet
+   * take seconds, so that this leaves out a few live ones.
+   */
+  std::vector<MemberRecord> ServingMembers(TimePoint now, Duration max_silence) const;
+
   /** Returns all other members in order of name, with those suspected or gone. */
   std::vector<const Member*> AllMembers() const;
 
--- a/libs/membership/src/member_table.cc
+++ b/libs/membership/src/member_table.cc
@@ -32,7 +32,8 @@
 }  // namespace
 
 std::uint16_t GenerationTag(const MemberRecord& record) noexcept {
-  return static_cast<std::uint16_t>(HashBytes(record.vm, record.generation));
+  const std::uint64_t seed = HashBytes(kMemberStateNames.NameOf(record.state), record.generation);
+  return static_cast<std::uint16_t>(HashBytes(record.vm, seed));
 }
 
 MemberTable::MemberTable(MemberRecord self, MemberTableOptions options)
@@ -144,12 +145,17 @@
 }
 
 std::vector<MemberRecord> MemberTable::ServingMembers(TimePoint now) const {
+  return ServingMembers(now, SuspectAfter());
+}
+
+std::vector<MemberRecord> MemberTable::ServingMembers(TimePoint now, Duration max_silence) const {
   std::vector<MemberRecord> serving;
   if (m_self.state == MemberState::kLive) {
     serving.push_back(m_self);
   }
   for (const auto& [vm, member] : m_members) {
-    if (member.record.state == MemberState::kLive && IsWithin(member, now)) {
+    if (member.record.state == MemberState::kLive && IsWithin(member, now) &&
+        now - member.heard_at <= max_silence) {
       serving.push_back(member.record);
     }
   }
--- a/libs/membership/test/test_membership.cc
+++ b/libs/membership/test/test_membership.cc
@@ -44,6 +44,22 @@
     CHECK_FALSE(table.IsHeardFrom("vm-1", start + milliseconds(3001)));
     CHECK(table.GossipPeers(start + milliseconds(3001)).empty());
   }
+  // Guards against address answers that name a VM that is off for as long as suspicion of a large
+  // fleet takes.
+  SECTION("it serves for as long as the caller allows it to be silent") {
+    table.SetVmCount(131);
+    const TimePoint later = start + seconds(5);
+    REQUIRE(table.IsHeardFrom("vm-1", later));
+    CHECK(table.ServingMembers(later).size() == 2);
+    CHECK(table.ServingMembers(later, milliseconds(4500)).size() == 1);
+    CHECK(table.ServingMembers(start + seconds(4), milliseconds(4500)).size() == 2);
+  }
+  // Pattern: a VM that was suspended while the leave was told hears only heartbeats afterwards.
+  SECTION("a digest of another state does not keep the known state alive") {
+    const std::uint16_t leaving = GenerationTag(MakeRecord("vm-1", 11, 1, MemberState::kLeaving));
+    CHECK_FALSE(table.MergeHeartbeat({1, leaving, 11}, start + seconds(2)));
+    CHECK_FALSE(table.IsHeardFrom("vm-1", start + milliseconds(3001)));
+  }
   SECTION("a digest of its incarnation does, one of another incarnation does not") {
     const MemberRecord record = MakeRecord("vm-1", 11);
     const std::uint16_t tag = GenerationTag(record);
