--- a/test/system/test_soak.cc
+++ b/test/system/test_soak.cc
@@ -3,8 +3,8 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <random>
 
+#include "chance.h"
 #include "key_ledger.h"
 #include "quetzalhinge/standin/answer_check.h"
 #include "test_deployment.h"
@@ -27,18 +27,6 @@
   return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
 }
 
-/** Random choices; the seed makes a run's choices repeatable, though not its timing. */
-class Chance {
- public:
-  explicit Chance(std::uint64_t seed) : m_generator(seed) {}
-  int Below(int bound) {
-    return static_cast<int>(m_generator() % static_cast<std::uint64_t>(bound));
-  }
-
- private:
-  std::mt19937_64 m_generator;
-};
-
 /** Calls without end: orders that are sent again until they are settled, and reads. */
 class Caller {
  public:
