Tell callers who find all workers full to wait for room

Cause: a call that a worker with free slots had refused kept that reason, also when it then looked for room and found all workers full; the caller was told to return within a tenth of the target latency, when no slot could be free.

Test: test_gateway, "A caller who finds all workers full is told to wait for room"; red before (0.021 s advised), green after (0.2 s or more).

--- a/libs/gateway/src/call_task.cc
+++ b/libs/gateway/src/call_task.cc
@@ -104,6 +104,7 @@
       Probe(pick);
       break;
     case PickStep::kFull:
+      m_refusal_cause = RefusalCause::kNoRoom;
       WaitForRoom(pick);
       break;
     case PickStep::kNone:
@@ -275,7 +276,8 @@
        {"ms", MillisSinceStart()}});
   m_may_have_run = m_may_have_run || verdict != AttemptVerdict::kNotRun;
   const bool is_refusal = failure == nullptr && verdict == AttemptVerdict::kNotRun;
-  m_was_refused_despite_room = is_refusal && attempt.had_room;
+  m_refusal_cause =
+      is_refusal && attempt.had_room ? RefusalCause::kRefusedDespiteRoom : RefusalCause::kNoRoom;
   if (verdict == AttemptVerdict::kFailed) {
     m_failure_response = std::get<http::HttpResponse>(result);
   }
@@ -386,9 +388,8 @@
 }
 
 void CallTask::Refuse(const char* reason) {
-  const RefusalCause cause =
-      m_was_refused_despite_room ? RefusalCause::kRefusedDespiteRoom : RefusalCause::kNoRoom;
-  const milliseconds wait = AdviseReturn(cause, m_terms.route.target_latency, m_context.random);
+  const milliseconds wait =
+      AdviseReturn(m_refusal_cause, m_terms.route.target_latency, m_context.random);
   Finish(http::HttpResponse{503,
                             {{m_context.headers.request_id, m_terms.request_id},
                              {"retry-after", FormatSeconds(wait)}},
--- a/libs/gateway/src/call_task.h
+++ b/libs/gateway/src/call_task.h
@@ -8,6 +8,7 @@
 
 #include "quetzalhinge/gateway/attempt_verdict.h"
 #include "quetzalhinge/gateway/call_service.h"
+#include "quetzalhinge/gateway/retry_advice.h"
 #include "quetzalhinge/net/timer.h"
 
 namespace qh::gateway {
@@ -85,7 +86,8 @@
   bool m_picking_second_opinion = false;
   bool m_may_have_run = false;
   /** The last attempt was refused by a worker that had free slots. */
-  bool m_was_refused_despite_room = false;
+  /** Why the request would be refused now. */
+  RefusalCause m_refusal_cause = RefusalCause::kNoRoom;
   bool m_deadline_passed = false;
   bool m_finished = false;
   net::Timer m_pick_timer;
--- a/libs/gateway/test/test_calls.cc
+++ b/libs/gateway/test/test_calls.cc
@@ -437,6 +437,26 @@
   CHECK(std::stod(std::string(*wait)) <= 0.06);
 }
 
+SCENARIO("A caller who finds all workers full is told to wait for room") {
+  Fixture fixture;
+  fixture.Configure(routes::RouteKind::kSafe, 20s, 300ms);
+  fixture.second.load = "6,3,6,100";
+  for (int i = 0; i < 4; ++i) {
+    REQUIRE(fixture.Call().body == "from w-1");
+  }
+  WHEN("the one with free slots refuses it because they are taken by now") {
+    fixture.first.behaviour = Behaviour::kShed;
+    fixture.first.load = "6,3,6,100";
+    const http::HttpResponse response = fixture.Call();
+    CHECK(response.status == 503);
+    const auto wait = http::FindHeader(response.headers, "retry-after");
+    REQUIRE(wait.has_value());
+    THEN("it does not come back before slots can be free") {
+      CHECK(std::stod(std::string(*wait)) >= 0.2);
+    }
+  }
+}
+
 SCENARIO("A request that crashes workers is kept from running") {
   Fixture fixture;
   fixture.Configure(routes::RouteKind::kSafe);
