Choose addresses and register VMs in classes of their own; sample large zones

Moving the choice showed a fault: an answer holds 64 addresses, and a zone with more VMs was always answered with the first 64 in order of name, so that the others got no callers. An answer now holds a random sample.

--- /dev/null
+++ b/libs/gateway/src/address_choice.cc
@@ -0,0 +1,33 @@
+#include "quetzalhinge/gateway/address_choice.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace qh::gateway {
+namespace {
+
+/** Zones with fewer live VMs than this are answered with all zones' addresses. */
+constexpr std::size_t kMinAddressesOfZone = 2;
+
+}  // namespace
+
+std::vector<IpEndpoint> ChooseAddresses(const std::vector<membership::MemberRecord>& serving,
+                                        const std::string& zone, RandomGenerator& random) {
+  std::vector<IpEndpoint> own_zone;
+  std::vector<IpEndpoint> all;
+  for (const membership::MemberRecord& member : serving) {
+    all.push_back(member.endpoints.calls);
+    if (member.zone == zone) {
+      own_zone.push_back(member.endpoints.calls);
+    }
+  }
+  const std::vector<IpEndpoint>& candidates =
+      own_zone.size() >= kMinAddressesOfZone ? own_zone : all;
+  std::vector<IpEndpoint> chosen;
+  std::sample(candidates.begin(), candidates.end(), std::back_inserter(chosen), kMaxAddresses,
+              random);
+  return chosen;
+}
+
+}  // namespace qh::gateway
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -4,9 +4,11 @@
 #include <utility>
 
 #include "quetzalhinge/base/hash.h"
+#include "quetzalhinge/gateway/address_choice.h"
 #include "quetzalhinge/gateway/call_service.h"
 #include "quetzalhinge/gateway/relayed_store.h"
 #include "quetzalhinge/gateway/store_copy.h"
+#include "quetzalhinge/gateway/vm_registration.h"
 #include "quetzalhinge/gossip/gossip_task.h"
 #include "quetzalhinge/logging/log.h"
 #include "quetzalhinge/net/timer.h"
@@ -49,18 +51,6 @@
  */
 constexpr double kSilencePartOfCatchUp = 0.5;
 
-/** Most addresses in an answer; callers use no more. */
-constexpr std::size_t kMaxAddresses = 64;
-
-/** Zones with fewer live VMs than this are answered with all zones' addresses. */
-constexpr std::size_t kMinAddressesOfZone = 2;
-
-/** Table in which VMs leave their gossip address for those that start later. */
-constexpr const char* kVmTable = "vms";
-
-/** How long until a failed registration is tried again. */
-constexpr milliseconds kRegisterRetry{700};
-
 /** Wall clocks of VMs may jump by some seconds; gossip goes on. */
 constexpr milliseconds kMaxClockDifference{600000};
 
@@ -130,7 +120,7 @@
   http::ConnectionServer address_server;
   http::ConnectionServer internal_server;
   net::Timer tick;
-  net::Timer register_timer;
+  VmRegistration registration;
   net::Timer first_read_timer;
   net::Timer news_timer;
   bool reading = false;
@@ -164,7 +154,9 @@
         internal_server(loop, InternalLimits(),
                         [this](auto exchange) { AnswerInternal(exchange); }),
         tick(loop, [this] { Tick(); }),
-        register_timer(loop, [this] { Register(); }),
+        registration(
+            loop, environment.store, settings.name, settings.internal,
+            [this](const std::vector<IpEndpoint>& peers) { gossip.SetListedPeers(peers); }),
         first_read_timer(loop, [this] { StartReadingInTurn(); }),
         news_timer(loop, [this] { CheckNews(); }) {
     // After a restart under load there is no time to wait for peers first.
@@ -189,7 +181,7 @@
     Result<Success> started = gossip.Start();
     if (IsOk(started)) {
       first_read_timer.StartOnce(kFirstReadDelay);
-      Register();
+      registration.Start();
       tick.StartRepeating(kTickInterval);
       logging::LogChange("process", "started",
                          {{"vm", settings.name},
@@ -237,40 +229,6 @@
     }
   }
 
-  // Registration
-
-  /** Leaves the own gossip address in the store, then reads those of the others. */
-  void Register() {
-    environment.store.WriteRow(kVmTable, settings.name, ToString(settings.internal),
-                               [this](const Result<Success>& result) {
-                                 if (!IsOk(result)) {
-                                   logging::LogError("register", ErrorOf(result));
-                                   register_timer.StartOnce(kRegisterRetry);
-                                   return;
-                                 }
-                                 ReadPeers();
-                               });
-  }
-
-  void ReadPeers() {
-    environment.store.ReadTable(kVmTable, [this](const Result<store::TableRows>& result) {
-      if (!IsOk(result)) {
-        logging::LogError("register", ErrorOf(result));
-        register_timer.StartOnce(kRegisterRetry);
-        return;
-      }
-      std::vector<IpEndpoint> peers;
-      for (const store::StoredRow& row : ValueOf(result).rows) {
-        const auto endpoint = ParseIpEndpoint(row.value);
-        if (endpoint.has_value() && *endpoint != settings.internal) {
-          peers.push_back(*endpoint);
-        }
-      }
-      logging::LogChange("register", "peers read", {{"count", std::to_string(peers.size())}});
-      gossip.SetListedPeers(peers);
-    });
-  }
-
   // Questions
 
   bool IsReady() const { return routes.HasConfiguration() && !stopping_since.has_value(); }
@@ -281,27 +239,10 @@
     exchange.Respond({!is_path ? 404 : IsReady() ? 200 : 503, {}, "", false});
   }
 
-  /** Live VMs of the caller's zone; of all zones where that has too few. */
-  std::vector<IpEndpoint> AddressesFor(const std::string& zone) const {
-    std::vector<IpEndpoint> own_zone;
-    std::vector<IpEndpoint> all;
+  std::vector<IpEndpoint> AddressesFor(const std::string& zone) {
     const auto max_silence =
         std::chrono::duration_cast<Duration>(settings.catch_up * kSilencePartOfCatchUp);
-    for (const MemberRecord& member : gossip.Members().ServingMembers(loop.Now(), max_silence)) {
-      if (member.state != MemberState::kLive) {
-        continue;
-      }
-      all.push_back(member.endpoints.calls);
-      if (member.zone == zone) {
-        own_zone.push_back(member.endpoints.calls);
-      }
-    }
-    std::vector<IpEndpoint> chosen =
-        own_zone.size() >= kMinAddressesOfZone ? std::move(own_zone) : std::move(all);
-    if (chosen.size() > kMaxAddresses) {
-      chosen.resize(kMaxAddresses);
-    }
-    return chosen;
+    return ChooseAddresses(gossip.Members().ServingMembers(loop.Now(), max_silence), zone, random);
   }
 
   void AnswerAddresses(http::ServerExchange& exchange) {
--- /dev/null
+++ b/libs/gateway/test/test_vm_registration.cc
@@ -0,0 +1,106 @@
+#include <catch2/catch.hpp>
+#include <optional>
+#include <utility>
+
+#include "quetzalhinge/gateway/vm_registration.h"
+
+namespace qh::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+const Error kRefused{ErrorCode::kUnavailable, "write row", "store", "refused"};
+
+/** A store with other VMs' rows that fails as often as it is told. */
+class FailingStore : public store::TableStore {
+ public:
+  explicit FailingStore(net::EventLoop& loop) : m_loop(loop) {}
+
+  void ReadTable(const std::string& /*table*/, Callback<store::TableRows> callback) override {
+    ++reads;
+    m_loop.Post([this, callback = std::move(callback)] {
+      if (failing_reads > 0) {
+        --failing_reads;
+        callback(kRefused);
+      } else {
+        callback(rows);
+      }
+    });
+  }
+  void AwaitChanges(const std::string& /*table*/, std::uint64_t /*after*/,
+                    std::chrono::milliseconds /*wait*/,
+                    Callback<store::TableRows> /*callback*/) override {}
+  void WriteRow(const std::string& table, const std::string& key, const std::string& value,
+                Callback<Success> callback) override {
+    ++writes;
+    written = table + "/" + key + " = " + value;
+    m_loop.Post([this, callback = std::move(callback)] {
+      if (failing_writes > 0) {
+        --failing_writes;
+        callback(kRefused);
+      } else {
+        callback(Success{});
+      }
+    });
+  }
+
+  int failing_writes = 0;
+  int failing_reads = 0;
+  int writes = 0;
+  int reads = 0;
+  std::string written;
+  store::TableRows rows;
+
+ private:
+  net::EventLoop& m_loop;
+};
+
+struct Story {
+  net::EventLoop loop;
+  FailingStore store{loop};
+  std::optional<std::vector<IpEndpoint>> peers;
+  VmRegistration registration{
+      loop, store, "vm-1", {"127.0.1.1", 7000}, [this](const auto& found) { peers = found; }};
+
+  void Run() {
+    registration.Start();
+    const TimePoint limit = loop.Now() + 10s;
+    while (!peers.has_value() && loop.Now() < limit) {
+      loop.RunOnce(10ms);
+    }
+    REQUIRE(peers.has_value());
+  }
+};
+
+TEST_CASE("A VM leaves its address in the store and finds the others") {
+  Story story;
+  story.store.rows = {{{"vm-1", "127.0.1.1:7000", 3, false}, {"vm-2", "127.0.1.2:7000", 4, false}},
+                      4};
+
+  SECTION("at once where the store answers") {
+    story.Run();
+    CHECK(story.store.written == "vms/vm-1 = 127.0.1.1:7000");
+    CHECK(story.peers == std::vector<IpEndpoint>{{"127.0.1.2", 7000}});
+    CHECK(story.store.writes == 1);
+    CHECK(story.store.reads == 1);
+  }
+  SECTION("later where it fails, without a storm of calls") {
+    story.store.failing_writes = 1;
+    story.store.failing_reads = 1;
+    const TimePoint begin = story.loop.Now();
+    story.Run();
+    CHECK(story.store.writes == 3);
+    CHECK(story.store.reads == 2);
+    CHECK(story.loop.Now() - begin >= 1400ms);
+    CHECK(story.peers == std::vector<IpEndpoint>{{"127.0.1.2", 7000}});
+  }
+  SECTION("although some rows are unreadable or removed") {
+    story.store.rows.rows.push_back({"vm-3", "not an address", 5, false});
+    story.store.rows.rows.push_back({"vm-4", "", 6, true});
+    story.Run();
+    CHECK(story.peers == std::vector<IpEndpoint>{{"127.0.1.2", 7000}});
+  }
+}
+
+}  // namespace
+}  // namespace qh::gateway
