--- a/libs/gateway/src/row_copy.cc
+++ b/libs/gateway/src/row_copy.cc
@@ -99,15 +99,29 @@
   return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+namespace {
+
+/** Reads a time that has passed. Throws on another type, or if it is negative or overflows. */
+Duration PassedTime(const json& millis) {
+  constexpr std::int64_t kMostMillis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Duration::max()).count();
+  const auto count = millis.get<std::int64_t>();
+  if (count < 0 || count > kMostMillis) {
+    throw std::out_of_range("time out of range: " + millis.dump());
+  }
+  return std::chrono::milliseconds(count);
+}
+
+}  // namespace
+
 Result<RelayedRows> DecodeRows(const std::string& peer, const std::string& text) {
   try {
     const json body = json::parse(text);
     RelayedRows relayed;
     relayed.rows.version = body.at("version").get<std::uint64_t>();
-    relayed.age = std::chrono::milliseconds(body.at("age_ms").get<std::int64_t>());
+    relayed.age = PassedTime(body.at("age_ms"));
     if (body.contains("since_outage_ms")) {
-      relayed.since_outage =
-          std::chrono::milliseconds(body.at("since_outage_ms").get<std::int64_t>());
+      relayed.since_outage = PassedTime(body.at("since_outage_ms"));
     }
     for (const json& row : body.at("rows")) {
       relayed.rows.rows.push_back({row.at(0).get<std::string>(), row.at(1).get<std::string>(),
--- a/libs/gateway/src/worker_links.cc
+++ b/libs/gateway/src/worker_links.cc
@@ -43,6 +43,9 @@
   metrics::Counter& probes;
   metrics::Counter& new_connections;
   std::map<std::string, Link> links;
+  /** Connections of probes that are sent over one of their own, by the number of the probe. */
+  std::map<std::uint64_t, WorkerConnection> probing_anew;
+  std::uint64_t probes_anew = 0;
 
   Impl(net::EventLoop& event_loop, metrics::MetricsRegistry& metrics,
        const CallHeaders& call_headers, const RecordDecoder& record_decoder,
@@ -201,12 +204,20 @@
 }
 
 void WorkerLinks::ProbeAnew(const std::string& id, ProbeCallback callback) {
-  auto lent = std::make_shared<WorkerConnection>(m_impl->Lend(id, true));
-  if (lent->connection == nullptr) {
+  const WorkerConnection lent = m_impl->Lend(id, true);
+  if (lent.connection == nullptr) {
     m_impl->loop.Post([callback = std::move(callback)] { callback(false); });
     return;
   }
-  m_impl->Send(*lent, [lent, callback = std::move(callback)](bool is_well) { callback(is_well); });
+  const std::uint64_t number = ++m_impl->probes_anew;
+  m_impl->probing_anew.emplace(number, lent);
+  m_impl->Send(lent, [weak = std::weak_ptr<Impl>(m_impl), number,
+                      callback = std::move(callback)](bool is_well) {
+    if (const auto impl = weak.lock()) {
+      impl->probing_anew.erase(number);
+    }
+    callback(is_well);
+  });
 }
 
 WorkerConnection WorkerLinks::Lend(const std::string& id) { return m_impl->Lend(id, false); }
