Leave room for heartbeats of other zones in each gossip message

The own zone now gets at most 0.8 of the heartbeats.

Test: test_gossip, "A message of a large zone tells of the other zones too"; with the share at 1: 0 heartbeats of other zones.

--- a/libs/membership/src/gossip_planner.cc
+++ b/libs/membership/src/gossip_planner.cc
@@ -8,6 +8,8 @@
 
 /** A flood of notices leaves the rest of a message to heartbeats and records. */
 constexpr double kNoticeShare = 0.4;
+/** Part of the heartbeats for the own zone; without a limit a large zone would tell of no other. */
+constexpr double kOwnZoneHeartbeatShare = 0.8;
 /** A sender with less than this share of the members known here is sent records. */
 constexpr double kBehindShare = 0.98;
 
@@ -28,6 +30,12 @@
     return true;
   }
 
+  /** Returns how many more parts like `part` fit. */
+  template <typename Part>
+  std::size_t RoomFor(const Part& part) const noexcept {
+    return m_left / EncodedBytes(part);
+  }
+
   /** Splits off a share of what is left. */
   ByteBudget Split(double share) noexcept {
     ByteBudget part;
@@ -81,18 +89,26 @@
 }
 
 /**
- * Puts those of the own zone first, the youngest ahead: callers of a zone are sent to its VMs, so
- * that these heartbeats should be young, and receivers are the least likely to know the youngest.
+ * Adds the youngest heartbeats of the own zone and a random sample of the others. Callers of a zone
+ * are sent to its VMs, so that these heartbeats should be young, and receivers are the least likely
+ * to know the youngest.
  */
 void AddHeartbeats(std::vector<const Member*> heard, std::size_t max_count, ByteBudget& budget,
                    GossipMessage& message, TimePoint now, RandomGenerator& random) {
+  const std::size_t room = std::min(max_count, budget.RoomFor(HeartbeatDigest{}));
+  const auto own_zone_room =
+      static_cast<std::ptrdiff_t>(static_cast<double>(room) * kOwnZoneHeartbeatShare);
   std::shuffle(heard.begin(), heard.end(), random);
   const auto others = std::partition(heard.begin(), heard.end(), [&](const Member* member) {
     return member->record.zone == message.sender.zone;
   });
   std::sort(heard.begin(), others,
             [](const Member* a, const Member* b) { return a->raised_at > b->raised_at; });
-  heard.resize(std::min(heard.size(), max_count));
+  // Members of the own zone beyond their part go behind the others.
+  if (others - heard.begin() > own_zone_room) {
+    std::rotate(heard.begin() + own_zone_room, others, heard.end());
+  }
+  heard.resize(std::min(heard.size(), room));
   for (const Member* member : heard) {
     const MemberRecord& record = member->record;
     const HeartbeatDigest digest{record.slot, GenerationTag(record), record.heartbeat,
--- a/libs/membership/test/test_gossip.cc
+++ b/libs/membership/test/test_gossip.cc
@@ -312,6 +312,40 @@
   }
 }
 
+// Guards against a zone so large that its heartbeats leave no room for those of the others.
+TEST_CASE("A message of a large zone tells of the other zones too") {
+  constexpr int kOwnZone = 200;
+  constexpr int kOthers = 100;
+  MemberRecord self;
+  self.vm = "self";
+  self.zone = "timur";
+  MemberTable table(self);
+  const TimePoint now{milliseconds(1000)};
+  for (int i = 0; i < kOwnZone + kOthers; ++i) {
+    MemberRecord record = self;
+    record.vm = std::to_string(i);
+    record.zone = i < kOwnZone ? "timur" : "barat";
+    record.slot = static_cast<std::uint16_t>(i);
+    record.endpoints.gossip = {"10.0.0.1", static_cast<std::uint16_t>(i + 1)};
+    record.heartbeat_age = milliseconds(i < kOwnZone / 2 ? 900 : 100);
+    table.Merge(record, now);
+  }
+  NoticeBoard board;
+  RandomGenerator random(20261204);
+  const auto planned = GossipPlanner().PlanRound(table, board, now, 1, random);
+  REQUIRE(planned.has_value());
+  const auto count = [&](auto is_wanted) {
+    return std::count_if(planned->message.heartbeats.begin(), planned->message.heartbeats.end(),
+                         is_wanted);
+  };
+  const auto own = count([](const HeartbeatDigest& digest) { return digest.slot < kOwnZone; });
+  const auto others = count([](const HeartbeatDigest& digest) { return digest.slot >= kOwnZone; });
+  CHECK(own > others);
+  CHECK(others >= own / 5);
+  // Of the own zone the young ones only.
+  CHECK(count([](const HeartbeatDigest& digest) { return digest.slot < kOwnZone / 2; }) == 0);
+}
+
 TEST_CASE("A message keeps its bytes whatever it has to tell") {
   // Guards against datagrams that are cut or dropped on the way.
   const bool holds = rc::check([] {
