--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -61,9 +61,8 @@
 constexpr std::size_t kGossipDatagramBytes = 1000;
 
 /**
- * Silence after which a VM is left out of address answers, scaled with the number of VMs.
- * Heartbeats of 131 VMs travel in about half of the messages; at 3 s live VMs were left out every
- * second.
+ * Silence after which a VM is suspected, scaled with the number of VMs. Heartbeats of 131 VMs
+ * travel in about half of the messages; at 3 s live VMs were suspected every second.
  */
 constexpr milliseconds kSuspectAfter{5000};
 
