Share the answering of peers' questions, and let chrono scale times

PeerAnswers wrote "changes, history gone, or nothing yet" twice and the loop over waiting questions three times; AnswerChanges() and KeepWaiters() serve all. Parts of a time are computed by chrono in call_task and retry_advice instead of by casts of counts. Behaviour is unchanged.

--- a/libs/gateway/src/call_task.cc
+++ b/libs/gateway/src/call_task.cc
@@ -41,7 +41,7 @@
 }
 
 milliseconds PartOf(milliseconds time, double part) {
-  return milliseconds(static_cast<std::int64_t>(static_cast<double>(time.count()) * part));
+  return std::chrono::duration_cast<milliseconds>(time * part);
 }
 
 milliseconds CeilMillis(Duration duration) {
--- a/libs/gateway/src/peer_answers.cc
+++ b/libs/gateway/src/peer_answers.cc
@@ -54,6 +54,20 @@
   exchange.Respond({kRelayOk, {}, EncodeRows(relayed), false});
 }
 
+bool PeerAnswers::AnswerChanges(http::ServerExchange& exchange, const TableState& state,
+                                std::uint64_t after) const {
+  const auto changes = state.rows.ChangesSince(after);
+  if (!changes.has_value()) {
+    exchange.Respond({kRelayGone, {}, "", false});
+    return true;
+  }
+  if (!changes->rows.empty()) {
+    AnswerWith(exchange, state, *changes);
+    return true;
+  }
+  return false;
+}
+
 void PeerAnswers::TurnAway(http::ServerExchange& exchange, const TableState& state) const {
   if (m_state.store_failing_since.has_value()) {
     exchange.Respond({kRelayNotFresh, {}, "", false});
@@ -77,58 +91,43 @@
     return;
   }
   const std::uint64_t after = NumberOf(path, "after");
-  const auto changes = state.rows.ChangesSince(after);
-  if (!changes.has_value()) {
-    exchange->Respond({kRelayGone, {}, "", false});
-  } else if (!changes->rows.empty()) {
-    AnswerWith(*exchange, state, *changes);
-  } else {
+  if (!AnswerChanges(*exchange, state, after)) {
     const std::uint64_t wait = std::min<std::uint64_t>(kPeerWait.count(), NumberOf(path, "wait"));
     m_waiters.push_back({std::move(exchange), table, after, m_loop.Now() + milliseconds(wait)});
   }
 }
 
+template <typename Predicate>
+void PeerAnswers::KeepWaiters(const Predicate& must_wait) {
+  std::vector<Waiter> waiters = std::exchange(m_waiters, {});
+  std::erase_if(waiters, [&](const Waiter& waiter) { return !must_wait(waiter); });
+  m_waiters = std::move(waiters);
+}
+
 void PeerAnswers::OnRows(const std::string& table) {
   const TableState& state = StateOf(table);
-  std::vector<Waiter> kept;
-  for (Waiter& waiter : std::exchange(m_waiters, {})) {
-    if (waiter.table != table) {
-      kept.push_back(std::move(waiter));
-      continue;
-    }
-    const auto changes = state.rows.ChangesSince(waiter.after);
-    if (!changes.has_value()) {
-      waiter.exchange->Respond({kRelayGone, {}, "", false});
-    } else if (!changes->rows.empty()) {
-      AnswerWith(*waiter.exchange, state, *changes);
-    } else {
-      kept.push_back(std::move(waiter));
-    }
-  }
-  m_waiters = std::move(kept);
+  KeepWaiters([&](const Waiter& waiter) {
+    return waiter.table != table || !AnswerChanges(*waiter.exchange, state, waiter.after);
+  });
 }
 
 void PeerAnswers::OnStoreFailed(const std::string& table) {
-  std::vector<Waiter> kept;
-  for (Waiter& waiter : std::exchange(m_waiters, {})) {
-    if (waiter.table == table) {
-      TurnAway(*waiter.exchange, StateOf(table));
-    } else {
-      kept.push_back(std::move(waiter));
+  KeepWaiters([&](const Waiter& waiter) {
+    if (waiter.table != table) {
+      return true;
     }
-  }
-  m_waiters = std::move(kept);
+    TurnAway(*waiter.exchange, StateOf(table));
+    return false;
+  });
 }
 
 void PeerAnswers::Tick() {
-  std::vector<Waiter> kept;
-  for (Waiter& waiter : std::exchange(m_waiters, {})) {
+  KeepWaiters([&](const Waiter& waiter) {
     if (!waiter.exchange->IsConnected()) {
-      continue;
+      return false;
     }
     if (m_loop.Now() < waiter.until) {
-      kept.push_back(std::move(waiter));
-      continue;
+      return true;
     }
     const TableState& state = StateOf(waiter.table);
     if (IsFresh(state)) {
@@ -136,8 +135,8 @@
     } else {
       TurnAway(*waiter.exchange, state);
     }
-  }
-  m_waiters = std::move(kept);
+    return false;
+  });
 }
 
 }  // namespace qh::gateway
--- a/libs/gateway/src/peer_answers.h
+++ b/libs/gateway/src/peer_answers.h
@@ -40,8 +40,15 @@
   bool IsFresh(const TableState& state) const;
   void AnswerWith(http::ServerExchange& exchange, const TableState& state,
                   const store::TableRows& rows) const;
+  /** Answers with the changes since `after` if there are any; returns whether it has answered. */
+  bool AnswerChanges(http::ServerExchange& exchange, const TableState& state,
+                     std::uint64_t after) const;
   void TurnAway(http::ServerExchange& exchange, const TableState& state) const;
 
+  /** Drops the waiters for which `must_wait` is false; it has answered those that are connected. */
+  template <typename Predicate>
+  void KeepWaiters(const Predicate& must_wait);
+
   net::EventLoop& m_loop;
   const RelayState& m_state;
   std::vector<Waiter> m_waiters;
--- a/libs/gateway/src/retry_advice.cc
+++ b/libs/gateway/src/retry_advice.cc
@@ -1,7 +1,6 @@
 #include "quetzalhinge/gateway/retry_advice.h"
 
 #include <algorithm>
-#include <cstdint>
 #include <random>
 
 namespace qh::gateway {
@@ -25,8 +24,7 @@
   milliseconds shortest = kShortestWaitForRoom;
   milliseconds longest = kLongestWaitForRoom;
   if (cause == RefusalCause::kRefusedDespiteRoom) {
-    const milliseconds part(
-        static_cast<std::int64_t>(static_cast<double>(target_latency.count()) * kLongestWaitPart));
+    const auto part = std::chrono::duration_cast<milliseconds>(target_latency * kLongestWaitPart);
     shortest = kShortestWait;
     longest = std::clamp(part, kShortestWait, kLongestWaitForRoom);
   }
--- a/libs/gateway/src/row_copy.cc
+++ b/libs/gateway/src/row_copy.cc
@@ -11,6 +11,17 @@
 /** Removals that are remembered; a peer that is further behind reads the whole table. */
 constexpr std::size_t kMaxRemoved = 256;
 
+/** Reads a time that has passed. Throws on another type, or if it is negative or overflows. */
+Duration PassedTime(const json& millis) {
+  constexpr std::int64_t kMostMillis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Duration::max()).count();
+  const auto count = millis.get<std::int64_t>();
+  if (count < 0 || count > kMostMillis) {
+    throw std::out_of_range("time out of range: " + millis.dump());
+  }
+  return std::chrono::milliseconds(count);
+}
+
 }  // namespace
 
 void RowCopy::Take(const store::TableRows& rows, bool is_whole) {
@@ -99,21 +110,6 @@
   return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-namespace {
-
-/** Reads a time that has passed. Throws on another type, or if it is negative or overflows. */
-Duration PassedTime(const json& millis) {
-  constexpr std::int64_t kMostMillis =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Duration::max()).count();
-  const auto count = millis.get<std::int64_t>();
-  if (count < 0 || count > kMostMillis) {
-    throw std::out_of_range("time out of range: " + millis.dump());
-  }
-  return std::chrono::milliseconds(count);
-}
-
-}  // namespace
-
 Result<RelayedRows> DecodeRows(const std::string& peer, const std::string& text) {
   try {
     const json body = json::parse(text);
