--- a/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,12 @@
   /** Returns the version of the newest known change in `table`; 0 if none is known. */
   std::uint64_t NewestChange(const std::string& table) const;
 
+  /**
+   * Returns when this VM's copy of `table` was last known to be current at the store; std::nullopt
+   * before the first read.
+   */
+  std::optional<TimePoint> ConfirmedAt(const std::string& table) const;
+
   void ReadTable(const std::string& table, Callback<store::TableRows> callback) override;
   void AwaitChanges(const std::string& table, std::uint64_t after, std::chrono::milliseconds wait,
                     Callback<store::TableRows> callback) override;
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -129,6 +129,8 @@
   bool worker_has_left = false;
   /** Newest change that another VM has announced. */
   std::uint64_t newest_announced_change = 0;
+  /** Since when an announced change is not known here; valid only while one is not. */
+  TimePoint behind_since{};
   std::optional<TimePoint> stopping_since;
   bool is_accepting = true;
   settings::ExitCode exit = settings::ExitCode::kSuccess;
@@ -228,7 +230,8 @@
     if (is_reading && NewestKnownChange() < newest_announced_change) {
       logging::LogDecision("store", "behind revision announced by peer",
                            {{"known", std::to_string(NewestKnownChange())},
-                            {"heard", std::to_string(newest_announced_change)}});
+                            {"heard", std::to_string(newest_announced_change)},
+                            {"behind_ms", std::to_string(ToMillis(loop.Now() - behind_since))}});
       relayed_store.ReadStoreNow();
     }
   }
@@ -288,6 +291,14 @@
         .Set(static_cast<double>(routes.Configuration().version));
     metrics.GaugeOf("qh_workers").Set(static_cast<double>(registry.All().size()));
     metrics.GaugeOf("qh_store_lost").Set(store_copy.UnavailableSince().has_value() ? 1 : 0);
+    for (const std::string& table :
+         {environment.layout.configuration_table, environment.layout.workers_table}) {
+      const auto confirmed_at = relayed_store.ConfirmedAt(table);
+      if (confirmed_at.has_value()) {
+        metrics.GaugeOf("qh_table_unconfirmed_seconds", "table=\"" + table + "\"")
+            .Set(std::chrono::duration<double>(loop.Now() - *confirmed_at).count());
+      }
+    }
     const http::RefusalCounts& refused = call_server.Refused();
     metrics.GaugeOf("qh_refused_malformed").Set(static_cast<double>(refused.malformed));
     metrics.GaugeOf("qh_refused_head_too_large").Set(static_cast<double>(refused.head_too_large));
@@ -357,8 +368,10 @@
 
   void OnRevisionAnnounced(std::uint64_t change) {
     if (change > newest_announced_change) {
+      const bool was_behind = newest_announced_change > NewestKnownChange();
       newest_announced_change = change;
       if (change > NewestKnownChange()) {
+        behind_since = was_behind ? behind_since : loop.Now();
         revision_lag_timer.StartOnce(kMaxRevisionLag);
       }
     }
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -46,6 +46,9 @@
 /** Time after which a failure no longer indicates that the store is unavailable. */
 constexpr milliseconds kFailureRetention{1500};
 
+/** A table that was not known to be current for longer than this is logged when it is again. */
+constexpr milliseconds kLateConfirmation{2000};
+
 /** Parses "<vm> <ip>:<port>"; std::nullopt if the text is malformed. */
 std::optional<RelayPeer> ParsePeer(const std::string& text) {
   const std::size_t blank = text.find(' ');
@@ -84,6 +87,8 @@
   RelayState state;
   PeerRequestHandler peer_request_handler{loop, state};
   std::map<std::string, TableRead> table_reads;
+  /** When each table was last known to be current, also if reads have failed since. */
+  std::map<std::string, TimePoint> confirmed_at;
   TimePoint store_failed_at{};
   /** Table whose read failed first in an outage; other tables wait until a read of it succeeds. */
   std::string outage_probe_table;
@@ -151,6 +156,24 @@
     }
   }
 
+  /** Logs a read that did not return rows; `source` is "store" or the name of a VM. */
+  void LogFailedRead(const std::string& table, const std::string& source, TimePoint started_at,
+                     const std::string& reason) const {
+    logging::LogDecision("store", "read failed",
+                         {{"table", table},
+                          {"peer", source},
+                          {"reason", reason},
+                          {"ms", std::to_string(ToMillis(loop.Now() - started_at))},
+                          {"unconfirmed_ms", UnconfirmedMillis(table)}});
+  }
+
+  /** Returns the time since `table` was last known to be current, in ms, or "none". */
+  std::string UnconfirmedMillis(const std::string& table) const {
+    const auto found = confirmed_at.find(table);
+    return found == confirmed_at.end() ? "none"
+                                       : std::to_string(ToMillis(loop.Now() - found->second));
+  }
+
   void ReadFromStore(const std::string& table, std::optional<std::uint64_t> after,
                      std::uint64_t sequence, int peers_tried) {
     const TimePoint not_before = table_reads[table].store_not_before;
@@ -198,6 +221,7 @@
     if (IsOk(result) || ErrorOf(result).code == ErrorCode::kConflict) {
       OnStoreResponding();
     } else {
+      LogFailedRead(table, "store", started_at, ErrorOf(result).detail);
       ExpireStoreFailure();
       store_failed_at = loop.Now();
       if (!state.store_failing_since.has_value()) {
@@ -263,27 +287,30 @@
           "&after=" + std::to_string(*after) + "&wait=" + std::to_string(kMaxPeerWait.count());
     }
     call.timeout = kMaxPeerWait + kPeerResponseMargin;
-    current.connection->Start(call, [weak = weak_from_this(), peer, table, after, sequence,
-                                     peers_tried](http::HttpCallResult result) {
-      const auto self = weak.lock();
-      if (self == nullptr) {
-        return;
-      }
-      // Posted, because the connection is busy until this callback has returned.
-      self->loop.Post([weak, peer, table, after, sequence, peers_tried,
-                       shared = std::make_shared<http::HttpCallResult>(std::move(result))] {
-        if (const auto later = weak.lock()) {
-          later->OnPeerResult(peer, table, after, sequence, peers_tried, *shared);
-        }
-      });
-    });
+    current.connection->Start(
+        call, [weak = weak_from_this(), peer, table, after, sequence, peers_tried,
+               started_at = loop.Now()](http::HttpCallResult result) {
+          const auto self = weak.lock();
+          if (self == nullptr) {
+            return;
+          }
+          // Posted, because the connection is busy until this callback has returned.
+          self->loop.Post([weak, peer, table, after, sequence, peers_tried, started_at,
+                           shared = std::make_shared<http::HttpCallResult>(std::move(result))] {
+            if (const auto later = weak.lock()) {
+              later->OnPeerResult(peer, table, after, sequence, peers_tried, started_at, *shared);
+            }
+          });
+        });
   }
 
   void OnPeerResult(const RelayPeer& peer, const std::string& table,
                     std::optional<std::uint64_t> after, std::uint64_t sequence, int peers_tried,
-                    const http::HttpCallResult& result) {
+                    TimePoint started_at, const http::HttpCallResult& result) {
     const auto* response = std::get_if<http::HttpResponse>(&result);
     if (response == nullptr) {
+      const Error& error = std::get<http::HttpCallFailure>(result).error;
+      LogFailedRead(table, peer.vm, started_at, error.step + ": " + error.detail);
       selector.OnNoResponse(peer.vm, loop.Now());
       ReadFromNextSource(table, after, sequence, peers_tried + 1);
       return;
@@ -312,6 +339,8 @@
     const bool is_older = IsOk(relayed) && !after.has_value() &&
                           ValueOf(relayed).rows.version < state.tables[table].rows.Version();
     if (!IsOk(relayed) || is_older) {
+      LogFailedRead(table, peer.vm, started_at,
+                    IsOk(relayed) ? "older rows" : ErrorOf(relayed).detail);
       selector.OnStale(peer.vm, loop.Now());
       ReadFromNextSource(table, after, sequence, peers_tried + 1);
       return;
@@ -355,11 +384,21 @@
     if (!table_state.fresh_at.has_value() || fresh_at > *table_state.fresh_at) {
       table_state.fresh_at = fresh_at;
     }
+    RecordConfirmation(table, fresh_at);
     table_state.from_store = from_store;
     table_state.rows.Apply(rows, is_complete);
     peer_request_handler.OnRows(table);
   }
 
+  void RecordConfirmation(const std::string& table, TimePoint at) {
+    const auto [confirmed, is_first] = confirmed_at.emplace(table, at);
+    if (!is_first && loop.Now() - confirmed->second > kLateConfirmation) {
+      logging::LogDecision("store", "confirmed late",
+                           {{"table", table}, {"unconfirmed_ms", UnconfirmedMillis(table)}});
+    }
+    confirmed->second = std::max(confirmed->second, at);
+  }
+
   void Complete(const std::string& table, std::uint64_t sequence, Result<store::TableRows> result) {
     TableRead& current = table_reads[table];
     if (sequence != current.sequence || current.pending_callback == nullptr) {
@@ -412,6 +451,11 @@
   return found == m_impl->state.tables.end() ? 0 : found->second.rows.NewestChange();
 }
 
+std::optional<TimePoint> RelayedStore::ConfirmedAt(const std::string& table) const {
+  const auto found = m_impl->confirmed_at.find(table);
+  return found == m_impl->confirmed_at.end() ? std::nullopt : std::optional(found->second);
+}
+
 void RelayedStore::ReadTable(const std::string& table, Callback<store::TableRows> callback) {
   m_impl->Read(table, std::nullopt, std::move(callback), false);
 }
