--- a/libs/gateway/include/quetzalhinge/gateway/gateway_settings.h
+++ b/libs/gateway/include/quetzalhinge/gateway/gateway_settings.h
@@ -28,6 +28,8 @@
 
   /** Address of the table store. */
   IpEndpoint store;
+  /** Time within which a change in the store takes effect at this VM. */
+  std::chrono::milliseconds apply_within{2000};
 
   /** Key that authenticates gossip; at least 16 characters, the same on all VMs. */
   std::string deployment_key;
--- a/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -7,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "quetzalhinge/gateway/confirmed_table_store.h"
 #include "quetzalhinge/gateway/relay_selector.h"
 #include "quetzalhinge/http/connection_server.h"
 #include "quetzalhinge/metrics/metrics_registry.h"
@@ -23,14 +25,17 @@
  * of the zone at once. A VM relays only rows that it has read from the store itself, and only while
  * they are fresh. Therefore VMs cannot wait for each other in a cycle, and the others notice when a
  * reader has lost its connection to the store. If no peer responds, the VM reads the store
- * directly. AwaitChanges() ignores its parameter `wait`: it waits 0.7 s at a peer and 1.5 s at the
- * store.
+ * directly. AwaitChanges() ignores its parameter `wait`: at the store and at a peer it returns
+ * within 0.55 of `apply_within`, so that the copies of all VMs of a zone are confirmed that often.
  */
-class RelayedStore : public store::TableStore {
+class RelayedStore : public ConfirmedTableStore {
  public:
-  /** All arguments must outlive this object. */
+  /**
+   * All references must outlive this object.
+   * @param apply_within time within which a change in the store takes effect at this VM
+   */
   RelayedStore(net::EventLoop& loop, metrics::MetricsRegistry& metrics, store::TableStore& direct,
-               const std::string& own_vm);
+               const std::string& own_vm, std::chrono::milliseconds apply_within);
   ~RelayedStore() override;
   RelayedStore(const RelayedStore&) = delete;
   RelayedStore& operator=(const RelayedStore&) = delete;
@@ -63,12 +68,9 @@
   /** Returns the version of the newest known change in `table`; 0 if none is known. */
   std::uint64_t NewestChange(const std::string& table) const;
 
-  /**
-   * Returns when this VM's copy of `table` was last known to be current at the store; std::nullopt
-   * before the first read.
-   */
-  std::optional<TimePoint> ConfirmedAt(const std::string& table) const;
-
+  std::optional<TimePoint> ConfirmedAt(const std::string& table) const override;
+  void CheckStore(const std::string& table, std::optional<std::uint64_t> after,
+                  Callback<store::TableRows> callback) override;
   void ReadTable(const std::string& table, Callback<store::TableRows> callback) override;
   void AwaitChanges(const std::string& table, std::uint64_t after, std::chrono::milliseconds wait,
                     Callback<store::TableRows> callback) override;
--- a/libs/gateway/include/quetzalhinge/gateway/store_copy.h
+++ b/libs/gateway/include/quetzalhinge/gateway/store_copy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -9,11 +10,11 @@
 #include "quetzalhinge/base/error.h"
 #include "quetzalhinge/base/random_id.h"
 #include "quetzalhinge/dispatch/worker_registry.h"
+#include "quetzalhinge/gateway/confirmed_table_store.h"
 #include "quetzalhinge/gateway/record_decoder.h"
 #include "quetzalhinge/metrics/metrics_registry.h"
 #include "quetzalhinge/net/event_loop.h"
 #include "quetzalhinge/routes/route_table.h"
-#include "quetzalhinge/store/table_store.h"
 
 namespace qh::gateway {
 
@@ -32,6 +33,14 @@
   virtual void OnWorkerEvent(const dispatch::WorkerEvent& event) = 0;
 };
 
+/** Time limits of a StoreCopy. */
+struct StoreCopyOptions {
+  /** Time for which a worker may still receive requests after its planned leave is known. */
+  std::chrono::milliseconds worker_drain{2000};
+  /** Time within which a change in the store takes effect at this VM. */
+  std::chrono::milliseconds apply_within{2000};
+};
+
 /**
  * This VM's copy of the configuration and of the worker registry. Follows their tables in the
  * store, decodes new rows and applies them. With a RelayedStore, rows come from the store or from
@@ -40,11 +49,11 @@
  */
 class StoreCopy {
  public:
-  /** All arguments must outlive the copy. */
+  /** All references must outlive the copy. */
   StoreCopy(net::EventLoop& loop, RandomGenerator& random, metrics::MetricsRegistry& metrics,
-            store::TableStore& store, const StoreLayout& layout, const RecordDecoder& decoder,
+            ConfirmedTableStore& store, const StoreLayout& layout, const RecordDecoder& decoder,
             routes::RouteTable& routes, dispatch::WorkerRegistry& registry,
-            std::chrono::milliseconds worker_drain, StoreCopyObserver& observer);
+            const StoreCopyOptions& options, StoreCopyObserver& observer);
   ~StoreCopy();
   StoreCopy(const StoreCopy&) = delete;
   StoreCopy& operator=(const StoreCopy&) = delete;
@@ -62,6 +71,12 @@
    */
   void OnStoreRecovered(Duration ago);
 
+  /**
+   * Sets the number of VMs. Many VMs check the store less often during an outage, so that their
+   * checks stay below its rate limit.
+   */
+  void SetVmCount(std::size_t vm_count);
+
   /** Performs deferred removals of workers that are due. */
   void Tick();
 
--- a/libs/gateway/include/quetzalhinge/gateway/table_follower.h
+++ b/libs/gateway/include/quetzalhinge/gateway/table_follower.h
@@ -5,8 +5,9 @@
 #include <string>
 
 #include "quetzalhinge/base/random_id.h"
+#include "quetzalhinge/gateway/confirmation_schedule.h"
+#include "quetzalhinge/gateway/confirmed_table_store.h"
 #include "quetzalhinge/net/event_loop.h"
-#include "quetzalhinge/store/table_store.h"
 
 namespace qh::gateway {
 
@@ -37,12 +38,17 @@
   kFullRead,
 };
 
-/** Follows one table: reads it once, then waits for changes and reports them to an observer. */
+/**
+ * Follows one table: reads it once, then waits for changes and reports them to an observer. While
+ * the copy is not known to be current, it also checks the table directly at the store, whatever the
+ * read in progress does (see ConfirmationSchedule).
+ */
 class TableFollower {
  public:
-  /** All arguments must outlive the follower. */
-  TableFollower(net::EventLoop& loop, RandomGenerator& random, store::TableStore& store,
-                const std::string& table, CatchUp catch_up, TableFollowerObserver& observer);
+  /** All references must outlive the follower. */
+  TableFollower(net::EventLoop& loop, RandomGenerator& random, ConfirmedTableStore& store,
+                const std::string& table, CatchUp catch_up, const ConfirmationLimits& limits,
+                TableFollowerObserver& observer);
   ~TableFollower();
   TableFollower(const TableFollower&) = delete;
   TableFollower& operator=(const TableFollower&) = delete;
@@ -53,6 +59,9 @@
   /** Skips the backoff after a failure, for use when the store is known to respond again. */
   void RetryNow();
 
+  /** See ConfirmationSchedule::SetMinRetry(). */
+  void SetMinCheckRetry(Duration interval);
+
   /** Returns since when the table cannot be read; std::nullopt while it can be read. */
   std::optional<TimePoint> UnavailableSince() const noexcept;
 
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -149,9 +149,9 @@
                 environment.headers, routes,      registry, picker,
                 worker_links,        crash_watch, budgets},
         call_service(context),
-        relayed_store(loop, metrics, environment.store, settings.name),
+        relayed_store(loop, metrics, environment.store, settings.name, settings.apply_within),
         store_copy(loop, random, metrics, relayed_store, environment.layout, environment.decoder,
-                   routes, registry, settings.worker_drain, *this),
+                   routes, registry, {settings.worker_drain, settings.apply_within}, *this),
         call_server(loop, {}, [this](auto exchange) { call_service.Handle(std::move(exchange)); }),
         ready_server(loop, InternalLimits(),
                      [this](auto exchange) { HandleReadinessRequest(*exchange); }),
@@ -388,6 +388,7 @@
     const std::size_t vm_count = gossip.Members().AllMembers().size() + 1;
     budgets.SetVmCount(vm_count);
     gossip.SetVmCount(vm_count);
+    store_copy.SetVmCount(vm_count);
   }
 
   void OnMemberActiveChanged(const std::string& vm, bool is_active) override {
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -37,6 +37,8 @@
   settings.addresses = reader.Endpoint("listen", "addresses");
   settings.internal = ReadInternal(reader);
   settings.store = reader.Endpoint("store", "endpoint");
+  settings.apply_within = reader.Time("store", "apply_within", milliseconds(200),
+                                      milliseconds(600000), settings.apply_within);
   settings.deployment_key = reader.Text("gossip", "deployment_key");
   if (settings.deployment_key.size() < auth::MessageAuthenticator::kMinKeyBytes) {
     reader.AddProblem("gossip", "deployment_key", "at least 16 characters");
--- a/libs/gateway/src/peer_request_handler.cc
+++ b/libs/gateway/src/peer_request_handler.cc
@@ -108,8 +108,16 @@
 
 void PeerRequestHandler::OnRows(const std::string& table) {
   const TableState& state = StateOf(table);
+  const bool is_fresh = IsFresh(state);
   RetainWaiters([&](const Waiter& waiter) {
-    return waiter.table != table || !RespondIfChanged(*waiter.exchange, state, waiter.after);
+    if (waiter.table != table) {
+      return true;
+    }
+    const bool has_responded = RespondIfChanged(*waiter.exchange, state, waiter.after);
+    if (!has_responded && is_fresh) {
+      RespondWithRows(*waiter.exchange, state, {{}, state.rows.Version()});
+    }
+    return !has_responded && !is_fresh;
   });
 }
 
--- a/libs/gateway/src/peer_request_handler.h
+++ b/libs/gateway/src/peer_request_handler.h
@@ -20,7 +20,10 @@
   /** Handles a request of another VM; the response may follow later. */
   void Handle(std::shared_ptr<http::ServerExchange> exchange);
 
-  /** Responds to the peers that wait for changes of `table`, after rows of it were applied. */
+  /**
+   * Responds to the peers that wait for changes of `table`, after a read of it has ended: with the
+   * changes, or, if the rows come from the store, with the confirmation that there are none.
+   */
   void OnRows(const std::string& table);
 
   /** Refuses the peers that wait for changes of `table`, after a read from the store failed. */
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -18,18 +18,19 @@
 using std::chrono::milliseconds;
 
 /**
- * Time-out of one wait for changes at the store. A request that waits during an outage may get no
- * response; with this time-out, the next one starts soon enough after the store has recovered to
- * apply new configurations within their time limit.
+ * Time from one response of the store to the next while nothing changes, as a fraction of the time
+ * within which a change must take effect. Less than the time after which VMs check the store
+ * themselves, see ConfirmationLimitsFor().
  */
-constexpr milliseconds kStoreWait{1500};
+constexpr double kReadCycleFraction = 0.55;
 
 /**
  * Pause between two waits at the store, so that changes in quick succession need one request only.
- * Doubled with each wait that ends early, up to the maximum, which limits the delay of changes.
+ * Doubled with each wait that ends early, up to a fraction of the read cycle, which limits the
+ * delay of changes.
  */
 constexpr milliseconds kMinPause{100};
-constexpr milliseconds kMaxPause{600};
+constexpr double kMaxPauseFraction = 0.55;
 
 /** Time allowed for a peer's response beyond the wait. */
 constexpr milliseconds kPeerResponseMargin{400};
@@ -46,9 +47,6 @@
 /** Time after which a failure no longer indicates that the store is unavailable. */
 constexpr milliseconds kFailureRetention{1500};
 
-/** A table that was not known to be current for longer than this is logged when it is again. */
-constexpr milliseconds kLateConfirmation{2000};
-
 /** Parses "<vm> <ip>:<port>"; std::nullopt if the text is malformed. */
 std::optional<RelayPeer> ParsePeer(const std::string& text) {
   const std::size_t blank = text.find(' ');
@@ -81,8 +79,10 @@
   net::EventLoop& loop;
   store::TableStore& direct_store;
   std::string own_vm;
+  milliseconds apply_within;
   RelaySelector selector;
   metrics::Counter& store_reads;
+  metrics::Counter& store_checks;
   metrics::Counter& peer_reads;
   RelayState state;
   PeerRequestHandler peer_request_handler{loop, state};
@@ -95,14 +95,20 @@
   std::function<void(Duration)> on_store_recovered;
 
   Impl(net::EventLoop& event_loop, metrics::MetricsRegistry& metrics, store::TableStore& store,
-       const std::string& vm)
+       const std::string& vm, milliseconds max_delay)
       : loop(event_loop),
         direct_store(store),
         own_vm(vm),
+        apply_within(max_delay),
         selector(vm),
         store_reads(metrics.CounterOf("qh_store_reads_total", "source=\"store\"")),
+        store_checks(metrics.CounterOf("qh_store_reads_total", "source=\"store check\"")),
         peer_reads(metrics.CounterOf("qh_store_reads_total", "source=\"peer\"")) {}
 
+  milliseconds ReadCycle() const {
+    return std::chrono::duration_cast<milliseconds>(apply_within * kReadCycleFraction);
+  }
+
   /** Reads the whole table if `after` is not set, otherwise waits for its changes. */
   void Read(const std::string& table, std::optional<std::uint64_t> after,
             Callback<store::TableRows> callback, bool from_store) {
@@ -194,20 +200,56 @@
       return;
     }
     store_reads.Add();
-    const bool is_complete = !after.has_value();
-    auto on_result = [weak = weak_from_this(), table, after, sequence, peers_tried,
+    const milliseconds wait = ReadCycle() - table_reads[table].pause;
+    auto on_result = [weak = weak_from_this(), table, after, sequence, peers_tried, wait,
                       started_at = loop.Now()](const Result<store::TableRows>& result) {
       if (const auto self = weak.lock()) {
+        self->UpdatePause(table, self->loop.Now() - started_at < wait);
         self->OnStoreResult(table, after, sequence, peers_tried, started_at, result);
       }
     };
-    if (is_complete) {
-      direct_store.ReadTable(table, std::move(on_result));
+    RequestFromStore(table, after, wait, std::move(on_result));
+  }
+
+  void RequestFromStore(const std::string& table, std::optional<std::uint64_t> after,
+                        milliseconds wait, Callback<store::TableRows> callback) {
+    if (after.has_value()) {
+      direct_store.AwaitChanges(table, *after, wait, std::move(callback));
     } else {
-      direct_store.AwaitChanges(table, *after, kStoreWait, std::move(on_result));
+      direct_store.ReadTable(table, std::move(callback));
     }
   }
 
+  void UpdatePause(const std::string& table, bool ended_early) {
+    const auto max_pause =
+        std::chrono::duration_cast<milliseconds>(ReadCycle() * kMaxPauseFraction);
+    TableRead& current = table_reads[table];
+    current.pause =
+        std::min(ended_early ? current.pause * 2 : kMinPause, std::max(max_pause, milliseconds(1)));
+    current.store_not_before = loop.Now() + current.pause;
+  }
+
+  void CheckStore(const std::string& table, std::optional<std::uint64_t> after,
+                  Callback<store::TableRows> callback) {
+    store_checks.Add();
+    logging::LogDecision("store", "check",
+                         {{"table", table}, {"unconfirmed_ms", UnconfirmedMillis(table)}});
+    RequestFromStore(
+        table, after, milliseconds(0),
+        [weak = weak_from_this(), table, is_complete = !after.has_value(), started_at = loop.Now(),
+         callback = std::move(callback)](Result<store::TableRows> result) {
+          const auto self = weak.lock();
+          if (self == nullptr) {
+            return;
+          }
+          self->RecordStoreResult(table, started_at, result);
+          if (IsOk(result)) {
+            self->ApplyRows(table, ValueOf(result), is_complete, started_at, true);
+          }
+          callback(std::move(result));
+        });
+  }
+
   /** Clears an old failure: this VM may have read from peers only since then. */
   void ExpireStoreFailure() {
     if (state.store_failing_since.has_value() && loop.Now() - store_failed_at > kFailureRetention) {
@@ -215,28 +257,30 @@
     }
   }
 
-  void OnStoreResult(const std::string& table, std::optional<std::uint64_t> after,
-                     std::uint64_t sequence, int peers_tried, TimePoint started_at,
-                     const Result<store::TableRows>& result) {
+  /** Records whether the store responds to this VM. */
+  void RecordStoreResult(const std::string& table, TimePoint started_at,
+                         const Result<store::TableRows>& result) {
     if (IsOk(result) || ErrorOf(result).code == ErrorCode::kConflict) {
       OnStoreResponding();
-    } else {
-      LogFailedRead(table, "store", started_at, ErrorOf(result).detail);
-      ExpireStoreFailure();
-      store_failed_at = loop.Now();
-      if (!state.store_failing_since.has_value()) {
-        state.store_failing_since = started_at;
-        outage_probe_table = table;
-      }
-      selector.OnStale(own_vm, loop.Now());
-      state.tables[table].fresh_at.reset();
-      peer_request_handler.OnStoreFailed(table);
+      return;
     }
-    TableRead& current = table_reads[table];
+    LogFailedRead(table, "store", started_at, ErrorOf(result).detail);
+    ExpireStoreFailure();
+    store_failed_at = loop.Now();
+    if (!state.store_failing_since.has_value()) {
+      state.store_failing_since = started_at;
+      outage_probe_table = table;
+    }
+    selector.OnStale(own_vm, loop.Now());
+    state.tables[table].fresh_at.reset();
+    peer_request_handler.OnStoreFailed(table);
+  }
+
+  void OnStoreResult(const std::string& table, std::optional<std::uint64_t> after,
+                     std::uint64_t sequence, int peers_tried, TimePoint started_at,
+                     const Result<store::TableRows>& result) {
+    RecordStoreResult(table, started_at, result);
     state.tables[table].reader = {};
-    const bool ended_early = loop.Now() - started_at < kStoreWait;
-    current.pause = ended_early ? std::min(current.pause * 2, kMaxPause) : kMinPause;
-    current.store_not_before = loop.Now() + current.pause;
     if (IsOk(result)) {
       UpdateTable(table, sequence, ValueOf(result), !after.has_value(), loop.Now(), true);
     } else if (ErrorOf(result).code != ErrorCode::kConflict && peers_tried < kMaxPeersTried) {
@@ -377,8 +421,20 @@
 
   void UpdateTable(const std::string& table, std::uint64_t sequence, const store::TableRows& rows,
                    bool is_complete, TimePoint fresh_at, bool from_store) {
+    if (sequence == table_reads[table].sequence) {
+      ApplyRows(table, rows, is_complete, fresh_at, from_store);
+    }
+  }
+
+  void ApplyRows(const std::string& table, const store::TableRows& rows, bool is_complete,
+                 TimePoint fresh_at, bool from_store) {
     TableState& table_state = state.tables[table];
-    if (sequence != table_reads[table].sequence || rows.version < table_state.rows.Version()) {
+    if (rows.version < table_state.rows.Version()) {
+      logging::LogDecision("store", "older rows ignored",
+                           {{"table", table},
+                            {"version", std::to_string(rows.version)},
+                            {"known", std::to_string(table_state.rows.Version())},
+                            {"from_store", from_store ? "yes" : "no"}});
       return;
     }
     if (!table_state.fresh_at.has_value() || fresh_at > *table_state.fresh_at) {
@@ -392,7 +448,7 @@
 
   void RecordConfirmation(const std::string& table, TimePoint at) {
     const auto [confirmed, is_first] = confirmed_at.emplace(table, at);
-    if (!is_first && loop.Now() - confirmed->second > kLateConfirmation) {
+    if (!is_first && loop.Now() - confirmed->second > apply_within) {
       logging::LogDecision("store", "confirmed late",
                            {{"table", table}, {"unconfirmed_ms", UnconfirmedMillis(table)}});
     }
@@ -410,8 +466,9 @@
 };
 
 RelayedStore::RelayedStore(net::EventLoop& loop, metrics::MetricsRegistry& metrics,
-                           store::TableStore& direct_store, const std::string& own_vm)
-    : m_impl(std::make_shared<Impl>(loop, metrics, direct_store, own_vm)) {}
+                           store::TableStore& direct_store, const std::string& own_vm,
+                           milliseconds apply_within)
+    : m_impl(std::make_shared<Impl>(loop, metrics, direct_store, own_vm, apply_within)) {}
 RelayedStore::~RelayedStore() = default;
 
 void RelayedStore::OnStoreRecovered(std::function<void(Duration ago)> callback) {
@@ -456,6 +513,11 @@
   return found == m_impl->confirmed_at.end() ? std::nullopt : std::optional(found->second);
 }
 
+void RelayedStore::CheckStore(const std::string& table, std::optional<std::uint64_t> after,
+                              Callback<store::TableRows> callback) {
+  m_impl->CheckStore(table, after, std::move(callback));
+}
+
 void RelayedStore::ReadTable(const std::string& table, Callback<store::TableRows> callback) {
   m_impl->Read(table, std::nullopt, std::move(callback), false);
 }
--- a/libs/gateway/src/store_copy.cc
+++ b/libs/gateway/src/store_copy.cc
@@ -19,6 +19,12 @@
  */
 constexpr double kRemovalDelayFraction = 0.95;
 
+/** Maximum checks of all VMs together in a second during an outage of the store. */
+constexpr std::int64_t kMaxChecksPerSecond = 500;
+
+/** Tables that each VM checks. */
+constexpr std::int64_t kTables = 2;
+
 }  // namespace
 
 struct StoreCopy::Impl : public TableFollowerObserver {
@@ -34,20 +40,23 @@
   TableFollower workers;
 
   Impl(net::EventLoop& event_loop, RandomGenerator& random, metrics::MetricsRegistry& metrics,
-       store::TableStore& store, const StoreLayout& store_layout,
+       ConfirmedTableStore& store, const StoreLayout& store_layout,
        const RecordDecoder& record_decoder, routes::RouteTable& route_table,
-       dispatch::WorkerRegistry& worker_registry, std::chrono::milliseconds worker_drain,
+       dispatch::WorkerRegistry& worker_registry, const StoreCopyOptions& options,
        StoreCopyObserver& copy_observer)
       : loop(event_loop),
         layout(store_layout),
         decoder(record_decoder),
         routes(route_table),
         registry(worker_registry),
-        removal_delay(std::chrono::duration_cast<Duration>(worker_drain * kRemovalDelayFraction)),
+        removal_delay(
+            std::chrono::duration_cast<Duration>(options.worker_drain * kRemovalDelayFraction)),
         observer(copy_observer),
         unreadable_rows(metrics.CounterOf("qh_store_unreadable_rows_total")),
-        configuration(loop, random, store, layout.configuration_table, CatchUp::kFullRead, *this),
-        workers(loop, random, store, layout.workers_table, CatchUp::kIncremental, *this) {}
+        configuration(loop, random, store, layout.configuration_table, CatchUp::kFullRead,
+                      ConfirmationLimitsFor(options.apply_within), *this),
+        workers(loop, random, store, layout.workers_table, CatchUp::kIncremental,
+                ConfirmationLimitsFor(options.apply_within), *this) {}
 
   void OnRows(const std::string& table, const store::TableRows& rows, bool is_complete) override {
     if (table == layout.configuration_table) {
@@ -129,12 +138,12 @@
 };
 
 StoreCopy::StoreCopy(net::EventLoop& loop, RandomGenerator& random,
-                     metrics::MetricsRegistry& metrics, store::TableStore& store,
+                     metrics::MetricsRegistry& metrics, ConfirmedTableStore& store,
                      const StoreLayout& layout, const RecordDecoder& decoder,
                      routes::RouteTable& routes, dispatch::WorkerRegistry& registry,
-                     std::chrono::milliseconds worker_drain, StoreCopyObserver& observer)
+                     const StoreCopyOptions& options, StoreCopyObserver& observer)
     : m_impl(std::make_unique<Impl>(loop, random, metrics, store, layout, decoder, routes, registry,
-                                    worker_drain, observer)) {}
+                                    options, observer)) {}
 StoreCopy::~StoreCopy() = default;
 
 void StoreCopy::Start() {
@@ -158,6 +167,13 @@
   m_impl->workers.RetryNow();
 }
 
+void StoreCopy::SetVmCount(std::size_t vm_count) {
+  const Duration interval =
+      std::chrono::seconds(1) * kTables * static_cast<std::int64_t>(vm_count) / kMaxChecksPerSecond;
+  m_impl->configuration.SetMinCheckRetry(interval);
+  m_impl->workers.SetMinCheckRetry(interval);
+}
+
 void StoreCopy::Tick() { m_impl->ReportEvents(m_impl->registry.Expire(m_impl->loop.Now())); }
 
 }  // namespace qh::gateway
--- a/libs/gateway/src/table_follower.cc
+++ b/libs/gateway/src/table_follower.cc
@@ -26,27 +26,40 @@
 struct TableFollower::Impl : public std::enable_shared_from_this<TableFollower::Impl> {
   net::EventLoop& loop;
   RandomGenerator& random;
-  store::TableStore& store;
+  ConfirmedTableStore& store;
   std::string table;
   CatchUp catch_up;
   TableFollowerObserver& observer;
   net::Timer timer;
+  ConfirmationSchedule schedule;
+  net::Timer check_timer;
   std::uint64_t version = 0;
   bool needs_full_read = true;
+  /** Whether the next check reads the whole table, because the last one failed. */
+  bool check_needs_full_read = false;
   /** Whether the timer runs for the backoff after a failure. */
   bool is_backing_off = false;
   milliseconds backoff = kMinBackoff;
   std::optional<TimePoint> unavailable_since;
 
-  Impl(net::EventLoop& event_loop, RandomGenerator& generator, store::TableStore& table_store,
-       std::string table_name, CatchUp catch_up_mode, TableFollowerObserver& follower_observer)
+  Impl(net::EventLoop& event_loop, RandomGenerator& generator, ConfirmedTableStore& table_store,
+       std::string table_name, CatchUp catch_up_mode, const ConfirmationLimits& limits,
+       TableFollowerObserver& follower_observer)
       : loop(event_loop),
         random(generator),
         store(table_store),
         table(std::move(table_name)),
         catch_up(catch_up_mode),
         observer(follower_observer),
-        timer(loop, [this] { StartRead(); }) {}
+        timer(loop, [this] { StartRead(); }),
+        schedule(limits, loop.Now()),
+        check_timer(loop, [this] { CheckIfDue(); }) {}
+
+  void Start() {
+    schedule.OnConfirmed(loop.Now());
+    ScheduleCheck();
+    StartRead();
+  }
 
   void StartRead() {
     is_backing_off = false;
@@ -71,9 +84,13 @@
       OnFailure(ErrorOf(result));
       return;
     }
+    Accept(ValueOf(result), is_complete);
+    timer.StartOnce(kBatchPause);
+  }
+
+  void Accept(const store::TableRows& rows, bool is_complete) {
     MarkAvailable();
-    needs_full_read = false;
-    const store::TableRows& rows = ValueOf(result);
+    needs_full_read = needs_full_read && !is_complete;
     // A peer may be behind the version that another peer has sent.
     if (rows.version >= version) {
       version = rows.version;
@@ -81,7 +98,54 @@
         observer.OnRows(table, rows, is_complete);
       }
     }
-    timer.StartOnce(kBatchPause);
+  }
+
+  void ScheduleCheck() {
+    const Duration left = std::max(Duration{}, schedule.NextCheck() - loop.Now());
+    check_timer.StartOnce(std::chrono::ceil<milliseconds>(left));
+  }
+
+  void CheckIfDue() {
+    const auto confirmed_at = store.ConfirmedAt(table);
+    if (confirmed_at.has_value()) {
+      schedule.OnConfirmed(*confirmed_at);
+    }
+    if (loop.Now() >= schedule.NextCheck()) {
+      StartCheck();
+    }
+    ScheduleCheck();
+  }
+
+  void StartCheck() {
+    schedule.OnCheckStarted(loop.Now());
+    const bool is_complete = needs_full_read || check_needs_full_read;
+    store.CheckStore(
+        table, is_complete ? std::nullopt : std::optional(version),
+        [weak = weak_from_this(), is_complete](const Result<store::TableRows>& result) {
+          if (const auto self = weak.lock()) {
+            self->OnCheckResult(result, is_complete);
+          }
+        });
+  }
+
+  void OnCheckResult(const Result<store::TableRows>& result, bool is_complete) {
+    if (IsOk(result)) {
+      check_needs_full_read = false;
+      Accept(ValueOf(result), is_complete);
+      EndBackoff();
+    } else if (ErrorOf(result).code == ErrorCode::kConflict) {
+      check_needs_full_read = true;
+      StartCheck();
+    } else {
+      check_needs_full_read = check_needs_full_read || catch_up == CatchUp::kFullRead;
+    }
+  }
+
+  /** Starts the next read at once if it waits for the end of the backoff. */
+  void EndBackoff() {
+    if (is_backing_off) {
+      timer.StartOnce(milliseconds(0));
+    }
   }
 
   void MarkAvailable() {
@@ -112,19 +176,21 @@
 };
 
 TableFollower::TableFollower(net::EventLoop& loop, RandomGenerator& random,
-                             store::TableStore& store, const std::string& table, CatchUp catch_up,
-                             TableFollowerObserver& observer)
-    : m_impl(std::make_shared<Impl>(loop, random, store, table, catch_up, observer)) {}
-TableFollower::~TableFollower() { m_impl->timer.Stop(); }
-
-void TableFollower::Start() { m_impl->StartRead(); }
+                             ConfirmedTableStore& store, const std::string& table, CatchUp catch_up,
+                             const ConfirmationLimits& limits, TableFollowerObserver& observer)
+    : m_impl(std::make_shared<Impl>(loop, random, store, table, catch_up, limits, observer)) {}
 
-void TableFollower::RetryNow() {
-  if (m_impl->is_backing_off) {
-    m_impl->timer.StartOnce(milliseconds(0));
-  }
+TableFollower::~TableFollower() {
+  m_impl->timer.Stop();
+  m_impl->check_timer.Stop();
 }
 
+void TableFollower::Start() { m_impl->Start(); }
+
+void TableFollower::RetryNow() { m_impl->EndBackoff(); }
+
+void TableFollower::SetMinCheckRetry(Duration interval) { m_impl->schedule.SetMinRetry(interval); }
+
 std::optional<TimePoint> TableFollower::UnavailableSince() const noexcept {
   return m_impl->unavailable_since;
 }
--- a/libs/gateway/test/test_decisions.cc
+++ b/libs/gateway/test/test_decisions.cc
@@ -126,6 +126,13 @@
   CHECK(problems(good + "[retries]\nslack = 21.70212765957447\n") == 0);
   CHECK(problems(good + "[retries]\nslack = -1\n") == 1);
   CHECK(problems(good + "[retries]\nshare = 1.5\nslak = 3\n") == 2);
+  const std::string store = "endpoint = 127.0.0.1:5\n";
+  const auto with_apply_within = [&](const std::string& value) {
+    std::string text = good;
+    return text.insert(text.find(store), "apply_within = " + value + "\n");
+  };
+  CHECK(problems(with_apply_within("2000ms")) == 0);
+  CHECK(problems(with_apply_within("100ms")) == 1);
   CHECK(problems("[vm]\nname = vm-1\n") > 5);
   CHECK(problems(good + "[gossip2]\n") == 1);
 }
--- a/libs/gateway/test/test_relay.cc
+++ b/libs/gateway/test/test_relay.cc
@@ -103,7 +103,7 @@
   http::ConnectionServer server;
 
   RelayVm(net::EventLoop& loop, store::TableStore& direct, const std::string& name)
-      : store(loop, metrics, direct, name),
+      : store(loop, metrics, direct, name, 2s),
         server(loop, {}, [this](auto exchange) { store.HandlePeerRequest(std::move(exchange)); }) {
     REQUIRE(IsOk(server.Listen({"127.0.0.1", 0})));
   }
--- a/libs/gateway/test/test_store_copy.cc
+++ b/libs/gateway/test/test_store_copy.cc
@@ -20,6 +20,8 @@
 constexpr const char* kConfigurationKey = "current";
 constexpr const char* kWorkersTable = "workers";
 
+constexpr std::chrono::milliseconds kApplyWithin{2000};
+
 /** A store with an outage: calls that are made during it never get a response. */
 class SilentStore : public store::TableStore {
  public:
@@ -127,10 +129,10 @@
 
   CopyingVm(net::EventLoop& event_loop, store::TableStore& store, const std::string& name)
       : loop(event_loop),
-        relayed_store(loop, metrics, store, name),
+        relayed_store(loop, metrics, store, name, kApplyWithin),
         copy(loop, random, metrics, relayed_store,
-             {kConfigurationTable, kConfigurationKey, kWorkersTable}, decoder, routes, registry, 2s,
-             observer) {}
+             {kConfigurationTable, kConfigurationKey, kWorkersTable}, decoder, routes, registry,
+             {2s, kApplyWithin}, observer) {}
 
   std::uint64_t Version() const { return routes.Configuration().version; }
 };
--- a/libs/gateway/test/test_table_follower.cc
+++ b/libs/gateway/test/test_table_follower.cc
@@ -12,7 +12,7 @@
 using std::chrono::milliseconds;
 
 /** A store that responds when the test calls Respond(). */
-class ScriptedStore : public store::TableStore {
+class ScriptedStore : public ConfirmedTableStore {
  public:
   void ReadTable(const std::string& /*table*/, Callback<store::TableRows> callback) override {
     calls.emplace_back("full");
@@ -26,15 +26,31 @@
   void WriteRow(const std::string& /*table*/, const std::string& /*key*/,
                 const std::string& /*value*/, Callback<Success> /*callback*/) override {}
 
+  std::optional<TimePoint> ConfirmedAt(const std::string& /*table*/) const override {
+    return confirmed_at;
+  }
+  void CheckStore(const std::string& /*table*/, std::optional<std::uint64_t> after,
+                  Callback<store::TableRows> callback) override {
+    checks.push_back(after.has_value() ? "after " + std::to_string(*after) : "full");
+    m_pending_check = std::move(callback);
+  }
+
+  bool HasPendingCheck() const { return m_pending_check != nullptr; }
+  void RespondToCheck(Result<store::TableRows> result) {
+    std::exchange(m_pending_check, nullptr)(std::move(result));
+  }
   bool HasPendingCall() const { return m_pending_callback != nullptr; }
   void Respond(Result<store::TableRows> result) {
     std::exchange(m_pending_callback, nullptr)(std::move(result));
   }
 
   std::vector<std::string> calls;
+  std::vector<std::string> checks;
+  std::optional<TimePoint> confirmed_at;
 
  private:
   Callback<store::TableRows> m_pending_callback;
+  Callback<store::TableRows> m_pending_check;
 };
 
 class RowObserver : public TableFollowerObserver {
@@ -45,6 +61,9 @@
   void OnStoreAvailable(const std::string& /*table*/, Duration /*outage*/) override {}
 };
 
+/** Checks follow soon, so that tests need not wait. */
+const ConfirmationLimits kLimits{milliseconds(50), milliseconds(20), milliseconds(40)};
+
 const Error kNoResponse{ErrorCode::kTimeout, "await changes", "store", "no response"};
 
 /** A follower that has read its table at version 7 and waits for changes. */
@@ -55,7 +74,8 @@
   RowObserver observer;
   TableFollower follower;
 
-  explicit Fixture(CatchUp catch_up) : follower(loop, random, store, "op", catch_up, observer) {
+  explicit Fixture(CatchUp catch_up)
+      : follower(loop, random, store, "op", catch_up, kLimits, observer) {
     follower.Start();
     RespondToNext(store::TableRows{{}, 7});
     AwaitCall();
@@ -66,6 +86,11 @@
       loop.RunOnce(milliseconds(10));
     }
   }
+  void AwaitCheck() {
+    while (!store.HasPendingCheck()) {
+      loop.RunOnce(milliseconds(10));
+    }
+  }
   void RespondToNext(Result<store::TableRows> result) {
     AwaitCall();
     store.Respond(std::move(result));
@@ -114,5 +139,53 @@
   }
 }
 
+TEST_CASE("A follower checks the store while its copy is not confirmed") {
+  Fixture fixture(CatchUp::kFullRead);
+  REQUIRE(fixture.store.HasPendingCall());
+  fixture.AwaitCheck();
+  SECTION("beside the read in progress, for the changes since the known version") {
+    CHECK(fixture.store.checks.back() == "after 7");
+    CHECK(fixture.store.HasPendingCall());
+  }
+  SECTION("and continues from the version that the check returned") {
+    fixture.store.RespondToCheck(store::TableRows{{}, 9});
+    fixture.RespondToNext(store::TableRows{{}, 8});
+    fixture.AwaitCall();
+    CHECK(fixture.store.calls.back() == "after 9");
+  }
+  SECTION("by reading the whole table if a check has failed and each version of a row is large") {
+    fixture.store.RespondToCheck(kNoResponse);
+    fixture.AwaitCheck();
+    CHECK(fixture.store.checks.back() == "full");
+    fixture.store.RespondToCheck(store::TableRows{{}, 9});
+    fixture.AwaitCheck();
+    CHECK(fixture.store.checks.back() == "after 9");
+  }
+  SECTION("by reading the whole table at once if the store has forgotten its history") {
+    fixture.store.RespondToCheck(
+        Error{ErrorCode::kConflict, "await changes", "store", "history gone"});
+    CHECK(fixture.store.checks.back() == "full");
+  }
+  SECTION("and a successful check ends the backoff after a failed read") {
+    for (int i = 0; i < 6; ++i) {
+      fixture.RespondToNext(kNoResponse);
+    }
+    const std::size_t calls = fixture.store.calls.size();
+    fixture.store.RespondToCheck(store::TableRows{{}, 9});
+    fixture.loop.RunOnce(milliseconds(10));
+    fixture.loop.RunOnce(milliseconds(10));
+    CHECK(fixture.store.calls.size() == calls + 1);
+  }
+  SECTION("but not while the copy is confirmed otherwise") {
+    fixture.store.RespondToCheck(store::TableRows{{}, 9});
+    fixture.store.confirmed_at = fixture.loop.Now() + std::chrono::hours(1);
+    fixture.RespondToNext(store::TableRows{{}, 9});
+    fixture.AwaitCall();
+    fixture.RespondToNext(store::TableRows{{}, 10});
+    fixture.AwaitCall();
+    CHECK_FALSE(fixture.store.HasPendingCheck());
+  }
+}
+
 }  // namespace
 }  // namespace qh::gateway
