--- a/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
@@ -53,9 +53,6 @@
   /** Responds to another VM's request for rows, at once or when rows change. */
   void HandlePeerRequest(std::shared_ptr<http::ServerExchange> exchange);
 
-  /** Abandons the waits for changes in progress and reads the changes from the store instead. */
-  void ReadStoreNow();
-
   /** Responds to peers whose wait has timed out. Must be called a few times per second. */
   void Tick();
 
--- a/libs/gateway/include/quetzalhinge/gateway/store_copy.h
+++ b/libs/gateway/include/quetzalhinge/gateway/store_copy.h
@@ -77,6 +77,9 @@
    */
   void SetVmCount(std::size_t vm_count);
 
+  /** Checks both tables at the store now, for use when they are known to have changed. */
+  void CheckNow();
+
   /** Performs deferred removals of workers that are due. */
   void Tick();
 
--- a/libs/gateway/include/quetzalhinge/gateway/table_follower.h
+++ b/libs/gateway/include/quetzalhinge/gateway/table_follower.h
@@ -59,6 +59,12 @@
   /** Skips the backoff after a failure, for use when the store is known to respond again. */
   void RetryNow();
 
+  /**
+   * Checks the table at the store now, also if a read is in progress or waits for the end of the
+   * backoff. Requires Start().
+   */
+  void CheckNow();
+
   /** See ConfirmationSchedule::SetMinRetry(). */
   void SetMinCheckRetry(Duration interval);
 
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -232,7 +232,7 @@
                            {{"known", std::to_string(NewestKnownChange())},
                             {"heard", std::to_string(newest_announced_change)},
                             {"behind_ms", std::to_string(ToMillis(loop.Now() - behind_since))}});
-      relayed_store.ReadStoreNow();
+      store_copy.CheckNow();
     }
   }
 
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -111,18 +111,17 @@
 
   /** Reads the whole table if `after` is not set, otherwise waits for its changes. */
   void Read(const std::string& table, std::optional<std::uint64_t> after,
-            Callback<store::TableRows> callback, bool from_store) {
+            Callback<store::TableRows> callback) {
     TableRead& current = table_reads[table];
     ++current.sequence;
     current.pending_callback = std::move(callback);
-    ReadFromNextSource(table, after, current.sequence, from_store ? kMaxPeersTried + 1 : 0);
+    ReadFromNextSource(table, after, current.sequence, 0);
   }
 
-  /** @param peers_tried peers tried for this read; above the maximum, the store is read */
+  /** @param peers_tried peers tried for this read; from the maximum on, the store is read */
   void ReadFromNextSource(const std::string& table, std::optional<std::uint64_t> after,
                           std::uint64_t sequence, int peers_tried) {
-    const RelayChoice choice =
-        peers_tried > kMaxPeersTried ? RelayChoice{} : selector.Choose(loop.Now());
+    const RelayChoice choice = selector.Choose(loop.Now());
     UpdateSource(table, choice);
     switch (choice.source) {
       case RelayChoice::Source::kStore:
@@ -483,15 +482,6 @@
   m_impl->peer_request_handler.Handle(std::move(exchange));
 }
 
-void RelayedStore::ReadStoreNow() {
-  for (auto& [table, table_read] : m_impl->table_reads) {
-    const std::uint64_t version = m_impl->state.tables[table].rows.Version();
-    if (table_read.pending_callback != nullptr && version > 0) {
-      m_impl->Read(table, version, std::exchange(table_read.pending_callback, nullptr), true);
-    }
-  }
-}
-
 void RelayedStore::Tick() { m_impl->peer_request_handler.Tick(); }
 
 bool RelayedStore::WouldReadStore() const {
@@ -519,12 +509,12 @@
 }
 
 void RelayedStore::ReadTable(const std::string& table, Callback<store::TableRows> callback) {
-  m_impl->Read(table, std::nullopt, std::move(callback), false);
+  m_impl->Read(table, std::nullopt, std::move(callback));
 }
 
 void RelayedStore::AwaitChanges(const std::string& table, std::uint64_t after,
                                 milliseconds /*wait*/, Callback<store::TableRows> callback) {
-  m_impl->Read(table, after, std::move(callback), false);
+  m_impl->Read(table, after, std::move(callback));
 }
 
 void RelayedStore::WriteRow(const std::string& table, const std::string& key,
--- a/libs/gateway/src/table_follower.cc
+++ b/libs/gateway/src/table_follower.cc
@@ -189,6 +189,8 @@
 
 void TableFollower::RetryNow() { m_impl->EndBackoff(); }
 
+void TableFollower::CheckNow() { m_impl->StartCheck(); }
+
 void TableFollower::SetMinCheckRetry(Duration interval) { m_impl->schedule.SetMinRetry(interval); }
 
 std::optional<TimePoint> TableFollower::UnavailableSince() const noexcept {
--- a/libs/gateway/test/test_table_follower.cc
+++ b/libs/gateway/test/test_table_follower.cc
@@ -139,6 +139,16 @@
   }
 }
 
+// Guards against news that is not read because the follower pauses after a failed read.
+TEST_CASE("A follower checks the store on request while it waits for the end of the backoff") {
+  Fixture fixture(CatchUp::kIncremental);
+  fixture.store.confirmed_at = fixture.loop.Now() + std::chrono::hours(1);
+  fixture.RespondToNext(kNoResponse);
+  REQUIRE_FALSE(fixture.store.HasPendingCall());
+  fixture.follower.CheckNow();
+  CHECK(fixture.store.checks.back() == "after 7");
+}
+
 TEST_CASE("A follower checks the store while its copy is not confirmed") {
   Fixture fixture(CatchUp::kFullRead);
   REQUIRE(fixture.store.HasPendingCall());
