--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -7,6 +7,7 @@
 #include "quetzalhinge/gateway/address_choice.h"
 #include "quetzalhinge/gateway/call_service.h"
 #include "quetzalhinge/gateway/relayed_store.h"
+#include "quetzalhinge/gateway/revision_lag.h"
 #include "quetzalhinge/gateway/store_copy.h"
 #include "quetzalhinge/gateway/vm_registration.h"
 #include "quetzalhinge/gossip/gossip_task.h"
@@ -124,13 +125,12 @@
   VmRegistration registration;
   net::Timer first_read_timer;
   net::Timer revision_lag_timer;
+  bool is_watching_lag = false;
   bool is_reading = false;
   bool first_read_delayed = false;
   bool worker_has_left = false;
-  /** Newest change that another VM has announced. */
-  std::uint64_t newest_announced_change = 0;
-  /** Since when an announced change is not known here; valid only while one is not. */
-  TimePoint behind_since{};
+  /** Changes that other VMs have announced. */
+  RevisionLag revision_lag{kMaxRevisionLag};
   std::optional<TimePoint> stopping_since;
   bool is_accepting = true;
   settings::ExitCode exit = settings::ExitCode::kSuccess;
@@ -205,7 +205,7 @@
    * at once; the others wait once more, until the readers have rows.
    */
   void StartReadingOrDelay() {
-    const bool has_source = relayed_store.WouldReadStore() || newest_announced_change > 0;
+    const bool has_source = relayed_store.WouldReadStore() || revision_lag.Newest() > 0;
     if (!has_source && !std::exchange(first_read_delayed, true)) {
       first_read_timer.StartOnce(kFirstReadDelay);
     } else {
@@ -226,12 +226,28 @@
                     relayed_store.NewestChange(environment.layout.workers_table));
   }
 
+  /** Starts the timer for the check of the lag if it is not running yet. */
+  void WatchRevisionLag() {
+    revision_lag.OnKnown(NewestKnownChange());
+    const auto due = revision_lag.ReadDue();
+    if (due.has_value() && !std::exchange(is_watching_lag, true)) {
+      const Duration left = std::max(Duration{}, *due - loop.Now());
+      revision_lag_timer.StartOnce(std::chrono::ceil<milliseconds>(left));
+    }
+  }
+
   void CheckRevisionLag() {
-    if (is_reading && NewestKnownChange() < newest_announced_change) {
+    is_watching_lag = false;
+    revision_lag.OnKnown(NewestKnownChange());
+    const auto due = revision_lag.ReadDue();
+    if (due.has_value() && loop.Now() < *due) {
+      WatchRevisionLag();
+    } else if (due.has_value() && is_reading) {
+      const Duration behind = loop.Now() - *revision_lag.BehindSince();
       logging::LogDecision("store", "behind revision announced by peer",
                            {{"known", std::to_string(NewestKnownChange())},
-                            {"heard", std::to_string(newest_announced_change)},
-                            {"behind_ms", std::to_string(ToMillis(loop.Now() - behind_since))}});
+                            {"heard", std::to_string(revision_lag.Newest())},
+                            {"behind_ms", std::to_string(ToMillis(behind))}});
       store_copy.CheckNow();
     }
   }
@@ -367,13 +383,9 @@
   }
 
   void OnRevisionAnnounced(std::uint64_t change) {
-    if (change > newest_announced_change) {
-      const bool was_behind = newest_announced_change > NewestKnownChange();
-      newest_announced_change = change;
-      if (change > NewestKnownChange()) {
-        behind_since = was_behind ? behind_since : loop.Now();
-        revision_lag_timer.StartOnce(kMaxRevisionLag);
-      }
+    if (change > revision_lag.Newest()) {
+      revision_lag.OnAnnounced(change, loop.Now());
+      WatchRevisionLag();
     }
   }
 
