--- a/libs/gateway/src/peer_request_handler.cc
+++ b/libs/gateway/src/peer_request_handler.cc
@@ -22,8 +22,23 @@
   return number;
 }
 
+/** Formats the body of a kRelayNotReader response: "<vm> <ip>:<port>", or empty if unknown. */
+std::string FormatReader(const RelayPeer& reader) {
+  return reader.vm.empty() ? "" : reader.vm + " " + ToString(reader.endpoint);
+}
+
 }  // namespace
 
+std::optional<RelayPeer> ParseReader(const std::string& body) {
+  const std::size_t blank = body.find(' ');
+  if (blank == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto endpoint = ParseIpEndpoint(body.substr(blank + 1));
+  return endpoint.has_value() ? std::optional(RelayPeer{body.substr(0, blank), *endpoint})
+                              : std::nullopt;
+}
+
 const TableState& PeerRequestHandler::StateOf(const std::string& table) const {
   static const TableState unknown;
   const auto found = m_state.tables.find(table);
@@ -74,9 +89,7 @@
     exchange.Respond({kRelayNotFresh, {}, "", false});
     return;
   }
-  const std::string reader =
-      state.reader.vm.empty() ? "" : state.reader.vm + " " + ToString(state.reader.endpoint);
-  exchange.Respond({kRelayNotReader, {}, reader, false});
+  exchange.Respond({kRelayNotReader, {}, FormatReader(state.reader), false});
 }
 
 void PeerRequestHandler::Handle(std::shared_ptr<http::ServerExchange> exchange) {
--- a/libs/gateway/src/peer_request_handler.h
+++ b/libs/gateway/src/peer_request_handler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,11 @@
 
 namespace qh::gateway {
 
+/**
+ * Parses the body of a kRelayNotReader response; std::nullopt if it names no VM or is malformed.
+ */
+std::optional<RelayPeer> ParseReader(const std::string& body);
+
 /** Responds to other VMs' requests for rows: at once, when rows change, or after a time-out. */
 class PeerRequestHandler {
  public:
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -10,6 +10,7 @@
 #include "quetzalhinge/http/client_connection.h"
 #include "quetzalhinge/logging/log.h"
 #include "quetzalhinge/net/timer.h"
+#include "read_pace.h"
 #include "relay_state.h"
 
 namespace qh::gateway {
@@ -17,21 +18,6 @@
 
 using std::chrono::milliseconds;
 
-/**
- * Time from one response of the store to the next while nothing changes, as a fraction of the time
- * within which a change must take effect. Less than the time after which VMs check the store
- * themselves, see ConfirmationLimitsFor().
- */
-constexpr double kReadCycleFraction = 0.55;
-
-/**
- * Pause between two waits at the store, so that changes in quick succession need one request only.
- * Doubled with each wait that ends early, up to a fraction of the read cycle, which limits the
- * delay of changes.
- */
-constexpr milliseconds kMinPause{100};
-constexpr double kMaxPauseFraction = 0.55;
-
 /** Time allowed for a peer's response beyond the wait. */
 constexpr milliseconds kPeerResponseMargin{400};
 
@@ -47,31 +33,20 @@
 /** Time after which a failure no longer indicates that the store is unavailable. */
 constexpr milliseconds kFailureRetention{1500};
 
-/** Parses "<vm> <ip>:<port>"; std::nullopt if the text is malformed. */
-std::optional<RelayPeer> ParsePeer(const std::string& text) {
-  const std::size_t blank = text.find(' ');
-  if (blank == std::string::npos) {
-    return std::nullopt;
-  }
-  const auto endpoint = ParseIpEndpoint(text.substr(blank + 1));
-  return endpoint.has_value() ? std::optional(RelayPeer{text.substr(0, blank), *endpoint})
-                              : std::nullopt;
-}
-
 }  // namespace
 
 struct RelayedStore::Impl : public std::enable_shared_from_this<RelayedStore::Impl> {
   /** State of the reads of one table. */
   struct TableRead {
+    explicit TableRead(milliseconds apply_within) : pace(apply_within) {}
+
     /** Source of the last read: the name of a VM, "store" or "nobody". */
     std::string source;
     std::shared_ptr<http::ClientConnection> connection;
     std::string connected_vm;
     /** Number of the current read; results of earlier reads, which were abandoned, are ignored. */
     std::uint64_t sequence = 0;
-    /** Pause before the next read from the store, and the earliest time for it. */
-    milliseconds pause = kMinPause;
-    TimePoint store_not_before{};
+    ReadPace pace;
     std::unique_ptr<net::Timer> pause_timer;
     Callback<store::TableRows> pending_callback;
   };
@@ -105,14 +80,14 @@
         store_checks(metrics.CounterOf("qh_store_reads_total", "source=\"store check\"")),
         peer_reads(metrics.CounterOf("qh_store_reads_total", "source=\"peer\"")) {}
 
-  milliseconds ReadCycle() const {
-    return std::chrono::duration_cast<milliseconds>(apply_within * kReadCycleFraction);
+  TableRead& ReadOf(const std::string& table) {
+    return table_reads.try_emplace(table, apply_within).first->second;
   }
 
   /** Reads the whole table if `after` is not set, otherwise waits for its changes. */
   void Read(const std::string& table, std::optional<std::uint64_t> after,
             Callback<store::TableRows> callback) {
-    TableRead& current = table_reads[table];
+    TableRead& current = ReadOf(table);
     ++current.sequence;
     current.pending_callback = std::move(callback);
     ReadFromNextSource(table, after, current.sequence, 0);
@@ -153,7 +128,7 @@
     std::string source = choice.source == RelayChoice::Source::kPeer    ? choice.peer.vm
                          : choice.source == RelayChoice::Source::kStore ? "store"
                                                                         : "nobody";
-    std::string& previous = table_reads[table].source;
+    std::string& previous = ReadOf(table).source;
     if (previous != source) {
       logging::LogChange("store", "source",
                          {{"table", table}, {"peer", source}, {"before", previous}});
@@ -181,16 +156,17 @@
 
   void ReadFromStore(const std::string& table, std::optional<std::uint64_t> after,
                      std::uint64_t sequence, int peers_tried) {
-    const TimePoint not_before = table_reads[table].store_not_before;
-    if (loop.Now() < not_before) {
-      auto& timer = table_reads[table].pause_timer;
-      timer = std::make_unique<net::Timer>(loop, [this, table, after, sequence, peers_tried] {
-        ReadFromStore(table, after, sequence, peers_tried);
-      });
-      timer->StartOnce(std::chrono::ceil<milliseconds>(not_before - loop.Now()));
+    TableRead& current = ReadOf(table);
+    if (sequence != current.sequence) {
       return;
     }
-    if (sequence != table_reads[table].sequence) {
+    if (loop.Now() < current.pace.NotBefore()) {
+      const Duration left = current.pace.NotBefore() - loop.Now();
+      current.pause_timer =
+          std::make_unique<net::Timer>(loop, [this, table, after, sequence, peers_tried] {
+            ReadFromStore(table, after, sequence, peers_tried);
+          });
+      current.pause_timer->StartOnce(std::chrono::ceil<milliseconds>(left));
       return;
     }
     ExpireStoreFailure();
@@ -199,15 +175,14 @@
       return;
     }
     store_reads.Add();
-    const milliseconds wait = ReadCycle() - table_reads[table].pause;
-    auto on_result = [weak = weak_from_this(), table, after, sequence, peers_tried, wait,
+    auto on_result = [weak = weak_from_this(), table, after, sequence, peers_tried,
                       started_at = loop.Now()](const Result<store::TableRows>& result) {
       if (const auto self = weak.lock()) {
-        self->UpdatePause(table, self->loop.Now() - started_at < wait);
+        self->ReadOf(table).pace.OnEnded(started_at, self->loop.Now());
         self->OnStoreResult(table, after, sequence, peers_tried, started_at, result);
       }
     };
-    RequestFromStore(table, after, wait, std::move(on_result));
+    RequestFromStore(table, after, current.pace.Wait(), std::move(on_result));
   }
 
   void RequestFromStore(const std::string& table, std::optional<std::uint64_t> after,
@@ -219,15 +194,6 @@
     }
   }
 
-  void UpdatePause(const std::string& table, bool ended_early) {
-    const auto max_pause =
-        std::chrono::duration_cast<milliseconds>(ReadCycle() * kMaxPauseFraction);
-    TableRead& current = table_reads[table];
-    current.pause =
-        std::min(ended_early ? current.pause * 2 : kMinPause, std::max(max_pause, milliseconds(1)));
-    current.store_not_before = loop.Now() + current.pause;
-  }
-
   void CheckStore(const std::string& table, std::optional<std::uint64_t> after,
                   Callback<store::TableRows> callback) {
     store_checks.Add();
@@ -315,7 +281,7 @@
   void ReadFromPeer(const RelayPeer& peer, const std::string& table,
                     std::optional<std::uint64_t> after, std::uint64_t sequence, int peers_tried) {
     peer_reads.Add();
-    TableRead& current = table_reads[table];
+    TableRead& current = ReadOf(table);
     if (current.connection == nullptr || !current.connection->IsIdle() ||
         current.connected_vm != peer.vm || loop.Now() > current.connection->IdleUntil()) {
       current.connection = std::make_shared<http::ClientConnection>(
@@ -371,7 +337,7 @@
       return;
     }
     if (response->status == kRelayNotReader) {
-      ReadFromNamedReader(peer, ParsePeer(response->body), table, after, sequence, peers_tried);
+      ReadFromNamedReader(peer, ParseReader(response->body), table, after, sequence, peers_tried);
       return;
     }
     auto relayed = response->status == kRelayOk
@@ -420,7 +386,7 @@
 
   void UpdateTable(const std::string& table, std::uint64_t sequence, const store::TableRows& rows,
                    bool is_complete, TimePoint fresh_at, bool from_store) {
-    if (sequence == table_reads[table].sequence) {
+    if (sequence == ReadOf(table).sequence) {
       ApplyRows(table, rows, is_complete, fresh_at, from_store);
     }
   }
@@ -455,7 +421,7 @@
   }
 
   void Complete(const std::string& table, std::uint64_t sequence, Result<store::TableRows> result) {
-    TableRead& current = table_reads[table];
+    TableRead& current = ReadOf(table);
     if (sequence != current.sequence || current.pending_callback == nullptr) {
       return;
     }
