--- a/libs/gateway/src/relay_state.h
+++ b/libs/gateway/src/relay_state.h
@@ -28,8 +28,10 @@
 /** State of one table at this VM. */
 struct TableState {
   RowCopy rows;
-  /** When the rows were last known to be current. */
+  /** When the rows were last known to be current; empty if a read has failed since. */
   std::optional<TimePoint> fresh_at;
+  /** When the rows were last known to be current, whatever happened since. */
+  std::optional<TimePoint> confirmed_at;
   /** Whether the rows were last read directly from the store. */
   bool from_store = false;
   /** The VM from which the rows were last read; empty if that was the store. */
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -51,6 +51,13 @@
     Callback<store::TableRows> pending_callback;
   };
 
+  /** A read of the store: a wait for changes, or a read of the whole table, which ends at once. */
+  struct StoreWait {
+    TimePoint started_at;
+    /** When the store responds at the latest, apart from the time that the response takes. */
+    TimePoint end;
+  };
+
   net::EventLoop& loop;
   store::TableStore& direct_store;
   std::string own_vm;
@@ -62,8 +69,6 @@
   RelayState state;
   PeerRequestHandler peer_request_handler{loop, state};
   std::map<std::string, TableRead> table_reads;
-  /** When each table was last known to be current, also if reads have failed since. */
-  std::map<std::string, TimePoint> confirmed_at;
   TimePoint store_failed_at{};
   /** Table whose read failed first in an outage; other tables wait until a read of it succeeds. */
   std::string outage_probe_table;
@@ -149,9 +154,13 @@
 
   /** Returns the time since `table` was last known to be current, in ms, or "none". */
   std::string UnconfirmedMillis(const std::string& table) const {
-    const auto found = confirmed_at.find(table);
-    return found == confirmed_at.end() ? "none"
-                                       : std::to_string(ToMillis(loop.Now() - found->second));
+    const auto confirmed_at = ConfirmedAt(table);
+    return confirmed_at.has_value() ? std::to_string(ToMillis(loop.Now() - *confirmed_at)) : "none";
+  }
+
+  std::optional<TimePoint> ConfirmedAt(const std::string& table) const {
+    const auto found = state.tables.find(table);
+    return found == state.tables.end() ? std::nullopt : found->second.confirmed_at;
   }
 
   void ReadFromStore(const std::string& table, std::optional<std::uint64_t> after,
@@ -175,11 +184,13 @@
       return;
     }
     store_reads.Add();
-    auto on_result = [weak = weak_from_this(), table, after, sequence, peers_tried,
-                      started_at = loop.Now()](const Result<store::TableRows>& result) {
+    const TimePoint started_at = loop.Now();
+    const TimePoint wait_end = started_at + (after.has_value() ? current.pace.Wait() : Duration{});
+    auto on_result = [weak = weak_from_this(), table, after, sequence, peers_tried, started_at,
+                      wait_end](const Result<store::TableRows>& result) {
       if (const auto self = weak.lock()) {
         self->ReadOf(table).pace.OnEnded(started_at, self->loop.Now());
-        self->OnStoreResult(table, after, sequence, peers_tried, started_at, result);
+        self->OnStoreResult(table, after, sequence, peers_tried, {started_at, wait_end}, result);
       }
     };
     RequestFromStore(table, after, current.pace.Wait(), std::move(on_result));
@@ -242,12 +253,16 @@
   }
 
   void OnStoreResult(const std::string& table, std::optional<std::uint64_t> after,
-                     std::uint64_t sequence, int peers_tried, TimePoint started_at,
+                     std::uint64_t sequence, int peers_tried, const StoreWait& wait,
                      const Result<store::TableRows>& result) {
-    RecordStoreResult(table, started_at, result);
+    RecordStoreResult(table, wait.started_at, result);
     state.tables[table].reader = {};
     if (IsOk(result)) {
-      UpdateTable(table, sequence, ValueOf(result), !after.has_value(), loop.Now(), true);
+      // A process that stood still finds old responses in its sockets. A response without changes
+      // was sent when the wait ended, at the latest.
+      const bool has_changes = after.has_value() && !ValueOf(result).rows.empty();
+      const TimePoint current_at = has_changes ? loop.Now() : std::min(loop.Now(), wait.end);
+      UpdateTable(table, sequence, ValueOf(result), !after.has_value(), current_at, true);
     } else if (ErrorOf(result).code != ErrorCode::kConflict && peers_tried < kMaxPeersTried) {
       // The store may refuse this VM but serve other VMs.
       ReadFromNextSource(table, after, sequence, peers_tried + 1);
@@ -412,12 +427,12 @@
   }
 
   void RecordConfirmation(const std::string& table, TimePoint at) {
-    const auto [confirmed, is_first] = confirmed_at.emplace(table, at);
-    if (!is_first && loop.Now() - confirmed->second > apply_within) {
+    std::optional<TimePoint>& confirmed_at = state.tables[table].confirmed_at;
+    if (confirmed_at.has_value() && loop.Now() - *confirmed_at > apply_within) {
       logging::LogDecision("store", "confirmed late",
                            {{"table", table}, {"unconfirmed_ms", UnconfirmedMillis(table)}});
     }
-    confirmed->second = std::max(confirmed->second, at);
+    confirmed_at = std::max(confirmed_at.value_or(at), at);
   }
 
   void Complete(const std::string& table, std::uint64_t sequence, Result<store::TableRows> result) {
@@ -465,8 +480,7 @@
 }
 
 std::optional<TimePoint> RelayedStore::ConfirmedAt(const std::string& table) const {
-  const auto found = m_impl->confirmed_at.find(table);
-  return found == m_impl->confirmed_at.end() ? std::nullopt : std::optional(found->second);
+  return m_impl->ConfirmedAt(table);
 }
 
 void RelayedStore::CheckStore(const std::string& table, std::optional<std::uint64_t> after,
--- a/libs/gateway/test/test_relay.cc
+++ b/libs/gateway/test/test_relay.cc
@@ -18,6 +18,8 @@
 
 const TimePoint kStart = TimePoint(1h);
 
+constexpr std::chrono::milliseconds kApplyWithin{500};
+
 store::StoredRow MakeRow(const std::string& key, std::uint64_t version,
                          const std::string& value = "value") {
   return {key, value, version, false};
@@ -43,6 +45,8 @@
       RespondToWaits();
     }
   }
+  /** Ends all waits without a change. */
+  void EndWaits() { RespondToWaits(); }
   int Reads() const { return m_reads; }
 
   void ReadTable(const std::string& /*table*/, Callback<store::TableRows> callback) override {
@@ -103,7 +107,7 @@
   http::ConnectionServer server;
 
   RelayVm(net::EventLoop& loop, store::TableStore& direct, const std::string& name)
-      : store(loop, metrics, direct, name, 2s),
+      : store(loop, metrics, direct, name, kApplyWithin),
         server(loop, {}, [this](auto exchange) { store.HandlePeerRequest(std::move(exchange)); }) {
     REQUIRE(IsOk(server.Listen({"127.0.0.1", 0})));
   }
@@ -425,6 +429,29 @@
   }
 }
 
+// Guards against rows that count as current although their response waited in the socket of a
+// process that stood still.
+SCENARIO("A response of the store that is read late does not count as current") {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  store.Put("a", "1");
+  RelayVm vm(loop, store, "vm");
+  const std::vector<RelayVm*> vms{&vm};
+  const auto rows = Read(loop, vms, vm, std::nullopt);
+  REQUIRE(IsOk(rows));
+  const TimePoint started_at = loop.Now();
+  std::optional<Result<store::TableRows>> result;
+  vm.store.AwaitChanges("workers", ValueOf(rows).version, 1s,
+                        [&](Result<store::TableRows> value) { result = std::move(value); });
+  // Longer than any wait at the store.
+  RunUntil(loop, vms, [&] { return loop.Now() > started_at + 3 * kApplyWithin; });
+  store.EndWaits();
+  RunUntil(loop, vms, [&] { return result.has_value(); });
+  REQUIRE(IsOk(*result));
+  REQUIRE(vm.store.ConfirmedAt("workers").has_value());
+  CHECK(*vm.store.ConfirmedAt("workers") <= started_at + kApplyWithin);
+}
+
 // Guards against a table that is never read again: a failed read of one table blocks reads of the
 // others until it succeeds, but nothing reads the first table any more.
 SCENARIO("A failed read of one table does not block reads of another permanently") {
