--- a/libs/gateway/src/read_pace.h
+++ b/libs/gateway/src/read_pace.h
@@ -16,6 +16,9 @@
   /** @param apply_within time within which a change must take effect */
   explicit ReadPace(std::chrono::milliseconds apply_within);
 
+  /** Returns the longest time from one response of the store to the next. */
+  std::chrono::milliseconds Cycle() const noexcept { return m_cycle; }
+
   /** Returns for how long the next wait may last. */
   std::chrono::milliseconds Wait() const noexcept { return m_cycle - m_pause; }
 
--- a/libs/gateway/src/relay_state.h
+++ b/libs/gateway/src/relay_state.h
@@ -11,8 +11,8 @@
 
 namespace qh::gateway {
 
-/** Maximum time for which a VM waits at a peer for changes or for the peer's next read. */
-inline constexpr std::chrono::milliseconds kMaxPeerWait{1150};
+/** Maximum time for which a peer may ask to wait. */
+inline constexpr std::chrono::milliseconds kMaxPeerWait{10000};
 
 /** HTTP statuses of responses between VMs. */
 inline constexpr int kRelayOk = 200;
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -6,8 +6,8 @@
 #include <utility>
 
 #include "peer_request_handler.h"
+#include "peer_rows_client.h"
 #include "quetzalhinge/gateway/row_copy.h"
-#include "quetzalhinge/http/client_connection.h"
 #include "quetzalhinge/logging/log.h"
 #include "quetzalhinge/net/timer.h"
 #include "read_pace.h"
@@ -18,9 +18,6 @@
 
 using std::chrono::milliseconds;
 
-/** Time allowed for a peer's response beyond the wait. */
-constexpr milliseconds kPeerResponseMargin{400};
-
 /**
  * Maximum number of peers tried for one read before it fails. Somewhat more than the maximum number
  * of readers during an outage.
@@ -42,8 +39,6 @@
 
     /** Source of the last read: the name of a VM, "store" or "nobody". */
     std::string source;
-    std::shared_ptr<http::ClientConnection> connection;
-    std::string connected_vm;
     /** Number of the current read; results of earlier reads, which were abandoned, are ignored. */
     std::uint64_t sequence = 0;
     ReadPace pace;
@@ -68,6 +63,7 @@
   metrics::Counter& peer_reads;
   RelayState state;
   PeerRequestHandler peer_request_handler{loop, state};
+  PeerRowsClient peer_rows;
   std::map<std::string, TableRead> table_reads;
   TimePoint store_failed_at{};
   /** Table whose read failed first in an outage; other tables wait until a read of it succeeds. */
@@ -83,7 +79,8 @@
         selector(vm),
         store_reads(metrics.CounterOf("qh_store_reads_total", "source=\"store\"")),
         store_checks(metrics.CounterOf("qh_store_reads_total", "source=\"store check\"")),
-        peer_reads(metrics.CounterOf("qh_store_reads_total", "source=\"peer\"")) {}
+        peer_reads(metrics.CounterOf("qh_store_reads_total", "source=\"peer\"")),
+        peer_rows(loop, apply_within) {}
 
   TableRead& ReadOf(const std::string& table) {
     return table_reads.try_emplace(table, apply_within).first->second;
@@ -296,36 +293,14 @@
   void ReadFromPeer(const RelayPeer& peer, const std::string& table,
                     std::optional<std::uint64_t> after, std::uint64_t sequence, int peers_tried) {
     peer_reads.Add();
-    TableRead& current = ReadOf(table);
-    if (current.connection == nullptr || !current.connection->IsIdle() ||
-        current.connected_vm != peer.vm || loop.Now() > current.connection->IdleUntil()) {
-      current.connection = std::make_shared<http::ClientConnection>(
-          loop, peer.endpoint, http::ClientConnectionOptions{});
-      current.connected_vm = peer.vm;
-    }
-    http::ClientRequest call;
-    call.request.method = "GET";
-    call.request.path = std::string(kRelayPath) + "?table=" + http::PercentEncode(table);
-    if (after.has_value()) {
-      call.request.path +=
-          "&after=" + std::to_string(*after) + "&wait=" + std::to_string(kMaxPeerWait.count());
-    }
-    call.timeout = kMaxPeerWait + kPeerResponseMargin;
-    current.connection->Start(
-        call, [weak = weak_from_this(), peer, table, after, sequence, peers_tried,
-               started_at = loop.Now()](http::HttpCallResult result) {
-          const auto self = weak.lock();
-          if (self == nullptr) {
-            return;
-          }
-          // Posted, because the connection is busy until this callback has returned.
-          self->loop.Post([weak, peer, table, after, sequence, peers_tried, started_at,
-                           shared = std::make_shared<http::HttpCallResult>(std::move(result))] {
-            if (const auto later = weak.lock()) {
-              later->OnPeerResult(peer, table, after, sequence, peers_tried, started_at, *shared);
-            }
-          });
-        });
+    peer_rows.Request(peer, table, after,
+                      [weak = weak_from_this(), peer, table, after, sequence, peers_tried,
+                       started_at = loop.Now()](const http::HttpCallResult& result) {
+                        if (const auto self = weak.lock()) {
+                          self->OnPeerResult(peer, table, after, sequence, peers_tried, started_at,
+                                             result);
+                        }
+                      });
   }
 
   void OnPeerResult(const RelayPeer& peer, const std::string& table,
--- a/libs/gateway/test/test_relay.cc
+++ b/libs/gateway/test/test_relay.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "../src/read_pace.h"
 #include "quetzalhinge/gateway/relay_selector.h"
 #include "quetzalhinge/gateway/relayed_store.h"
 #include "quetzalhinge/gateway/row_copy.h"
@@ -20,15 +21,6 @@
 
 constexpr std::chrono::milliseconds kApplyWithin{500};
 
-store::StoredRow MakeRow(const std::string& key, std::uint64_t version,
-                         const std::string& value = "value") {
-  return {key, value, version, false};
-}
-
-store::StoredRow MakeRemoval(const std::string& key, std::uint64_t version) {
-  return {key, "", version, true};
-}
-
 /** An in-memory store that ends waits when a row changes, and that can refuse all requests. */
 class FakeStore : public store::TableStore {
  public:
@@ -106,8 +98,9 @@
   RelayedStore store;
   http::ConnectionServer server;
 
-  RelayVm(net::EventLoop& loop, store::TableStore& direct, const std::string& name)
-      : store(loop, metrics, direct, name, kApplyWithin),
+  RelayVm(net::EventLoop& loop, store::TableStore& direct, const std::string& name,
+          std::chrono::milliseconds apply_within = kApplyWithin)
+      : store(loop, metrics, direct, name, apply_within),
         server(loop, {}, [this](auto exchange) { store.HandlePeerRequest(std::move(exchange)); }) {
     REQUIRE(IsOk(server.Listen({"127.0.0.1", 0})));
   }
@@ -252,68 +245,6 @@
   }
 }
 
-SCENARIO("A row copy returns the changes since any version that it still knows") {
-  RowCopy copy;
-  copy.Apply({{MakeRow("a", 3), MakeRow("b", 5)}, 10}, true);
-
-  THEN("there are no changes since its own version") {
-    REQUIRE(copy.ChangesSince(10).has_value());
-    CHECK(copy.ChangesSince(10)->rows.empty());
-  }
-  THEN("removals before its first read are unknown") {
-    CHECK_FALSE(copy.ChangesSince(9).has_value());
-  }
-  WHEN("a row becomes too large to relay") {
-    store::StoredRow large = MakeRow("a", 12);
-    large.value.assign(kMaxRelayedBytes + 1, 'x');
-    copy.Apply({{large}, 12}, false);
-    THEN("it is among the changes, and its value is omitted") {
-      const auto changes = copy.ChangesSince(10);
-      REQUIRE(changes.has_value());
-      REQUIRE(changes->rows.size() == 1);
-      CHECK(changes->rows[0].version == 12);
-      CHECK(copy.HasOmittedValue(*changes));
-      CHECK(copy.HasOmittedValue(copy.All()));
-    }
-    THEN("other rows are still relayed") {
-      copy.Apply({{MakeRow("b", 13)}, 13}, false);
-      CHECK_FALSE(copy.HasOmittedValue(*copy.ChangesSince(12)));
-    }
-    THEN("it is relayed again when it is small enough") {
-      copy.Apply({{MakeRow("a", 14)}, 14}, false);
-      CHECK_FALSE(copy.HasOmittedValue(copy.All()));
-      CHECK(copy.All().rows[0].value == MakeRow("a", 14).value);
-    }
-  }
-  WHEN("rows are changed and removed") {
-    copy.Apply({{MakeRow("a", 12), MakeRemoval("b", 13)}, 14}, false);
-    THEN("both are among the changes, in order of version") {
-      const auto changes = copy.ChangesSince(11);
-      REQUIRE(changes->rows.size() == 2);
-      CHECK(changes->rows[0].key == "a");
-      CHECK(changes->rows[1].removed);
-      CHECK(copy.NewestChange() == 13);
-    }
-    THEN("a row that was added again is not reported as removed") {
-      copy.Apply({{MakeRow("b", 15)}, 15}, false);
-      const auto changes = copy.ChangesSince(11);
-      REQUIRE(changes->rows.size() == 2);
-      CHECK_FALSE(changes->rows[0].removed);
-      CHECK_FALSE(changes->rows[1].removed);
-    }
-  }
-  THEN("encoded rows are decoded to the same rows") {
-    const RelayedRows sent{copy.All(), 250ms, 40ms};
-    const auto received = DecodeRows("peer", EncodeRows(sent));
-    REQUIRE(IsOk(received));
-    CHECK(ValueOf(received).rows.rows.size() == 2);
-    CHECK(ValueOf(received).rows.version == 10);
-    CHECK(ValueOf(received).age == Duration(250ms));
-    CHECK(ValueOf(received).since_outage == Duration(40ms));
-  }
-  THEN("malformed text is an error") { CHECK_FALSE(IsOk(DecodeRows("peer", "{\"version\":1}"))); }
-}
-
 SCENARIO("One VM reads the store and relays its rows to another") {
   net::EventLoop loop;
   FakeStore store(loop);
@@ -429,6 +360,55 @@
   }
 }
 
+SCENARIO("A peer that waits for changes learns that there are none") {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  store.Put("a", "1");
+  RelayVm reader(loop, store, "reader");
+  // Its own wait would end long after the test.
+  RelayVm other(loop, store, NameRankedAfter("reader"), 100s);
+  const std::vector<RelayVm*> vms{&reader, &other};
+  const auto rows = Read(loop, vms, reader, std::nullopt);
+  REQUIRE(IsOk(rows));
+  other.store.SetPeers({{"reader", reader.server.LocalEndpoint()}});
+  std::optional<Result<store::TableRows>> at_other;
+  other.store.AwaitChanges("workers", ValueOf(rows).version, 1s,
+                           [&](Result<store::TableRows> value) { at_other = std::move(value); });
+  RunUntil(loop, vms, [&] { return reader.server.InProgress() == 1; });
+  WHEN("the reader's wait at the store ends without changes") {
+    const int reads = store.Reads();
+    reader.store.AwaitChanges("workers", ValueOf(rows).version, 1s, [](const auto& /*rows*/) {});
+    RunUntil(loop, vms, [&] { return store.Reads() > reads; });
+    store.EndWaits();
+    THEN("the other VM is told at once") {
+      RunUntil(loop, vms, [&] { return at_other.has_value(); });
+      REQUIRE(IsOk(*at_other));
+      CHECK(ValueOf(*at_other).rows.empty());
+      CHECK(other.store.ConfirmedAt("workers").has_value());
+    }
+  }
+}
+
+// Guards against a wait at a peer that ends shortly before the peer reads again: the next wait
+// would miss that read, and the copy would not be confirmed for almost two read cycles.
+SCENARIO("A wait at a peer outlasts the time between two reads of the peer") {
+  net::EventLoop loop;
+  FakeStore unused(loop);
+  std::string path;
+  http::ConnectionServer peer(loop, {}, [&](const std::shared_ptr<http::ServerExchange>& exchange) {
+    path = exchange->Request().path;
+  });
+  REQUIRE(IsOk(peer.Listen({"127.0.0.1", 0})));
+  constexpr std::chrono::milliseconds kLongApplyWithin{2500};
+  RelayVm vm(loop, unused, NameRankedAfter("peer"), kLongApplyWithin);
+  vm.store.SetPeers({{"peer", peer.LocalEndpoint()}});
+  vm.store.AwaitChanges("workers", 1, 1s, [](const auto& /*rows*/) {});
+  RunUntil(loop, {&vm}, [&] { return !path.empty(); });
+  const ReadPace pace(kLongApplyWithin);
+  const auto wait = std::stoi(http::QueryParameter(path, "wait").value_or("0"));
+  CHECK(std::chrono::milliseconds(wait) > pace.Cycle());
+}
+
 // Guards against rows that count as current although their response waited in the socket of a
 // process that stood still.
 SCENARIO("A response of the store that is read late does not count as current") {
