--- a/libs/dispatch/include/quetzalhinge/dispatch/worker_registry.h
+++ b/libs/dispatch/include/quetzalhinge/dispatch/worker_registry.h
@@ -57,6 +57,8 @@
   LoadReport report;
   /** Time at which `report` was received. */
   std::optional<TimePoint> reported_at;
+  /** Requests a second that the worker accepts from all VMs together, if it limits them. */
+  std::optional<double> limit_per_s;
   /** Requests of this VM that are in progress at the worker. */
   int in_progress = 0;
   /** Requests that this VM has sent since `report`. */
--- a/libs/gateway/include/quetzalhinge/gateway/call_headers.h
+++ b/libs/gateway/include/quetzalhinge/gateway/call_headers.h
@@ -20,6 +20,8 @@
   std::string worker_load;
   /** Present if the worker did not run the request. */
   std::string not_run;
+  /** Requests a second that the worker accepts from all VMs together; absent without a limit. */
+  std::string worker_limit;
 };
 
 }  // namespace qh::gateway
--- a/libs/gateway/include/quetzalhinge/gateway/record_decoder.h
+++ b/libs/gateway/include/quetzalhinge/gateway/record_decoder.h
@@ -17,7 +17,7 @@
   std::string workers_table;
 };
 
-/** Decodes records of the store and load headers of workers. */
+/** Decodes records of the store and headers of workers. */
 class RecordDecoder {
  public:
   virtual ~RecordDecoder() = default;
@@ -32,6 +32,12 @@
 
   /** Decodes the load header of a worker's response; std::nullopt if it is malformed. */
   virtual std::optional<dispatch::LoadReport> DecodeLoad(std::string_view value) const = 0;
+
+  /**
+   * Decodes the limit header of a worker's response, in requests a second; std::nullopt if it is
+   * malformed.
+   */
+  virtual std::optional<double> DecodeLimit(std::string_view value) const = 0;
 };
 
 }  // namespace qh::gateway
--- a/libs/gateway/include/quetzalhinge/gateway/worker_links.h
+++ b/libs/gateway/include/quetzalhinge/gateway/worker_links.h
@@ -59,8 +59,8 @@
   /** Closes the idle connections to the worker `id`, after it has left or restarted. */
   void CloseIdleConnections(const std::string& id);
 
-  /** Records the load reported in `response` of the worker `id`. */
-  void RecordLoad(const std::string& id, const http::HttpResponse& response);
+  /** Records what the worker `id` states about itself in `response`: its load and its limit. */
+  void RecordResponse(const std::string& id, const http::HttpResponse& response);
 
  private:
   struct Impl;
--- a/libs/gateway/src/call_task.cc
+++ b/libs/gateway/src/call_task.cc
@@ -261,7 +261,7 @@
              served);
   const TimePoint now = m_context.loop.Now();
   if (failure == nullptr) {
-    m_context.worker_links.RecordLoad(worker, std::get<http::HttpResponse>(result));
+    m_context.worker_links.RecordResponse(worker, std::get<http::HttpResponse>(result));
   }
   if (served) {
     m_context.registry.OnSuccess(worker, now);
--- a/libs/gateway/src/worker_links.cc
+++ b/libs/gateway/src/worker_links.cc
@@ -145,6 +145,9 @@
     const auto identity = http::FindHeader(response.headers, headers.worker_id);
     const bool is_other_worker = identity.has_value() && *identity != worker.id;
     RecordLoad(worker.id, response);
+    if (!is_other_worker) {
+      RecordLimit(*status, response, "probe");
+    }
     if (response.status == kOk && !is_other_worker) {
       status->unhealthy_until = now;
       return true;
@@ -157,6 +160,25 @@
     return false;
   }
 
+  /** Records the limit that the worker states with a response, or that it states none. */
+  void RecordLimit(WorkerStatus& worker, const http::HttpResponse& response, const char* source) {
+    const auto value = http::FindHeader(response.headers, headers.worker_limit);
+    const auto limit = value.has_value() ? decoder.DecodeLimit(*value) : std::nullopt;
+    if (value.has_value() && !limit.has_value()) {
+      logging::LogDecision("worker", "limit ignored because it is malformed",
+                           {{"worker", worker.record.id}, {"value", std::string(*value)}});
+      return;
+    }
+    if (limit != worker.limit_per_s) {
+      logging::LogChange("worker", "limit",
+                         {{"worker", worker.record.id},
+                          {"service", worker.record.service},
+                          {"limit_per_s", limit.has_value() ? std::to_string(*limit) : "none"},
+                          {"source", source}});
+      worker.limit_per_s = limit;
+    }
+  }
+
   void RecordLoad(const std::string& id, const http::HttpResponse& response) {
     const WorkerStatus* worker = registry.Find(id);
     if (worker == nullptr || response.status == kMisdirected) {
@@ -234,8 +256,12 @@
   }
 }
 
-void WorkerLinks::RecordLoad(const std::string& id, const http::HttpResponse& response) {
+void WorkerLinks::RecordResponse(const std::string& id, const http::HttpResponse& response) {
   m_impl->RecordLoad(id, response);
+  WorkerStatus* worker = m_impl->registry.Find(id);
+  if (worker != nullptr && response.status != kMisdirected) {
+    m_impl->RecordLimit(*worker, response, "response");
+  }
 }
 
 }  // namespace qh::gateway
--- a/libs/gateway/test/test_calls.cc
+++ b/libs/gateway/test/test_calls.cc
@@ -42,6 +42,9 @@
     report.slowdown = percent / 100.0;
     return report;
   }
+  std::optional<double> DecodeLimit(std::string_view /*value*/) const override {
+    return std::nullopt;
+  }
 };
 
 /** How a worker handles requests. */
--- a/libs/gateway/test/test_store_copy.cc
+++ b/libs/gateway/test/test_store_copy.cc
@@ -106,6 +106,9 @@
   std::optional<dispatch::LoadReport> DecodeLoad(std::string_view /*value*/) const override {
     return std::nullopt;
   }
+  std::optional<double> DecodeLimit(std::string_view /*value*/) const override {
+    return std::nullopt;
+  }
 };
 
 class IgnoringObserver : public StoreCopyObserver {
