--- a/libs/dispatch/include/quetzalhinge/dispatch/worker_picker.h
+++ b/libs/dispatch/include/quetzalhinge/dispatch/worker_picker.h
@@ -56,6 +56,9 @@
   std::set<std::string> excluded;
 };
 
+/** Longest wait of a Pick, also used if no worker's limit allows this VM any request. */
+inline constexpr std::chrono::seconds kMaxLimitWait{2};
+
 /** Next step for a request that has no worker yet. */
 enum class PickStep {
   /** Send it to `worker`. */
@@ -64,6 +67,8 @@
   kProbe,
   /** `worker`, which has the least expected time, is full; the others would take longer. */
   kFull,
+  /** All workers are at the limits that they state; the first one may be sent to after `wait`. */
+  kLimited,
   /** No usable worker: the service has none, or all are excluded. */
   kNone,
 };
@@ -71,19 +76,22 @@
 /** Result of WorkerPicker::Decide(). */
 struct Pick {
   PickStep step = PickStep::kNone;
-  /** Id of the worker; empty for kProbe and kNone. */
+  /** Id of the worker; empty for kProbe, kLimited and kNone. */
   std::string worker;
   /** Ids of the workers to probe; only for kProbe. */
   std::vector<std::string> probes;
   /** Reason for the decision, for the log. */
   const char* reason = "";
+  /** Time until a request may be sent; only for kLimited. */
+  Duration wait{};
 };
 
 /**
  * Picks the worker that is expected to complete a request first. The machines of workers change
  * speed within a fraction of a second, so a load report counts in full only while it is fresh. If
  * no worker has a fresh report that shows a fast machine and a free slot, a few workers are probed
- * first: those in the zone of this VM before the others, each by expected time. Stateless.
+ * first: those in the zone of this VM before the others, each by expected time. A worker that is at
+ * the limit that it states is not considered. Stateless.
  */
 class WorkerPicker {
  public:
--- a/libs/dispatch/include/quetzalhinge/dispatch/worker_registry.h
+++ b/libs/dispatch/include/quetzalhinge/dispatch/worker_registry.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "quetzalhinge/base/time.h"
+#include "quetzalhinge/dispatch/worker_limits.h"
 #include "quetzalhinge/dispatch/worker_record.h"
 
 namespace qh::dispatch {
@@ -57,8 +58,6 @@
   LoadReport report;
   /** Time at which `report` was received. */
   std::optional<TimePoint> reported_at;
-  /** Requests a second that the worker accepts from all VMs together, if it limits them. */
-  std::optional<double> limit_per_s;
   /** Requests of this VM that are in progress at the worker. */
   int in_progress = 0;
   /** Requests that this VM has sent since `report`. */
@@ -121,8 +120,11 @@
   /** Records a load report of worker `id`. */
   void OnReport(std::string_view id, const LoadReport& report, TimePoint now);
 
-  /** Records that this VM has sent a request to worker `id`. */
-  void OnSent(std::string_view id);
+  /** Records that this VM has sent a request to worker `id`, also for its limit. */
+  void OnSent(std::string_view id, TimePoint now);
+
+  /** Returns the limits that workers state. Forgets those of removed and restarted workers. */
+  WorkerLimits& Limits() noexcept;
 
   /** Records that a request at worker `id` has ended. Call it before OnReport() of its response. */
   void OnEnded(std::string_view id);
--- a/libs/dispatch/src/worker_picker.cc
+++ b/libs/dispatch/src/worker_picker.cc
@@ -72,13 +72,24 @@
                           const std::set<std::string>& probed, bool may_probe, TimePoint now,
                           RandomGenerator& random) const {
   std::vector<Candidate> candidates;
+  std::optional<Duration> limit_wait;
   for (WorkerStatus* worker : registry.Usable(request.service)) {
-    if (request.excluded.count(worker->record.id) == 0) {
+    if (request.excluded.count(worker->record.id) != 0) {
+      continue;
+    }
+    const Duration until =
+        registry.Limits().TimeUntilSend(worker->record.id, now).value_or(kMaxLimitWait);
+    if (until > Duration(0)) {
+      limit_wait = std::min(limit_wait.value_or(kMaxLimitWait), until);
+    } else {
       const microseconds expected = ExpectedTime(*worker, request, now);
       candidates.push_back({worker, microseconds(static_cast<std::int64_t>(
                                         static_cast<double>(expected.count()) * Jitter(random)))});
     }
   }
+  if (candidates.empty() && limit_wait.has_value()) {
+    return {PickStep::kLimited, "", {}, "all workers are at their limits", *limit_wait};
+  }
   if (candidates.empty()) {
     return {PickStep::kNone, "", {}, "no usable worker"};
   }
--- a/libs/dispatch/src/worker_registry.cc
+++ b/libs/dispatch/src/worker_registry.cc
@@ -32,6 +32,7 @@
   /** Last records of removed workers, to recognise their late entries. */
   std::map<std::string, WorkerRecord, std::less<>> removed;
   TimePoint defer_removals_until{};
+  WorkerLimits limits;
 
   static bool IsOlder(const WorkerRecord& record, const WorkerRecord& current) {
     if (record.started_unix_ms != current.started_unix_ms) {
@@ -82,6 +83,7 @@
     entry.remove_at.reset();
     if (IsRestart(record, current)) {
       RemoveFromServiceIndex(current);
+      limits.Forget(record.id);
       ids_by_service[record.service].insert(record.id);
       entry.status = WorkerStatus{};
       entry.status.record = record;
@@ -118,6 +120,7 @@
     events.push_back({WorkerChange::kRemoved, entry.status.record});
     RemoveFromServiceIndex(entry.status.record);
     removed[id] = entry.status.record;
+    limits.Forget(id);
     workers.erase(found);
   }
 };
@@ -214,7 +217,10 @@
   worker->ended_since_report = 0;
 }
 
-void WorkerRegistry::OnSent(std::string_view id) {
+WorkerLimits& WorkerRegistry::Limits() noexcept { return m_impl->limits; }
+
+void WorkerRegistry::OnSent(std::string_view id, TimePoint now) {
+  m_impl->limits.OnSent(id, now);
   WorkerStatus* worker = Find(id);
   if (worker != nullptr) {
     ++worker->in_progress;
--- a/libs/dispatch/test/test_worker_picker.cc
+++ b/libs/dispatch/test/test_worker_picker.cc
@@ -114,4 +114,39 @@
   }
 }
 
+SCENARIO("A worker at the limit that it states is not picked") {
+  Fixture fixture;
+  WorkerLimits& limits = fixture.registry.Limits();
+  limits.SetVms("vm", {}, kStart);
+  for (const char* id : {"near-1", "near-2", "far-1"}) {
+    limits.OnStated(id, 1.0, kStart);
+  }
+  fixture.registry.OnReport("near-1", {0, 0, 6, 1}, kStart);
+
+  THEN("another worker is picked or probed") {
+    const Pick pick = fixture.Decide();
+    REQUIRE(pick.step == PickStep::kProbe);
+    CHECK(pick.probes == std::vector<std::string>{"far-2"});
+  }
+  WHEN("all workers are at their limits") {
+    limits.OnStated("far-2", 4.0, kStart);
+    THEN("the time until one of them may be sent to is known") {
+      const Pick pick = fixture.Decide();
+      CHECK(pick.step == PickStep::kLimited);
+      CHECK(pick.wait > 200ms);
+      CHECK(pick.wait <= 251ms);
+    }
+    THEN("the first one that may be sent to is considered") {
+      CHECK(fixture.Decide({}, true, kStart + 300ms).probes == std::vector<std::string>{"far-2"});
+    }
+  }
+  WHEN("a limited worker is removed and returns") {
+    fixture.registry.Apply({{"near-1", std::nullopt}}, kStart);
+    WorkerRecord record = MakeWorker("near-1", "here");
+    record.sequence = 2;
+    fixture.registry.Apply({{"near-1", record}}, kStart);
+    THEN("its limit is forgotten") { CHECK(limits.MaySend("near-1", kStart)); }
+  }
+}
+
 }  // namespace qh::dispatch
--- a/libs/dispatch/test/test_worker_registry.cc
+++ b/libs/dispatch/test/test_worker_registry.cc
@@ -86,7 +86,7 @@
       }
     }
     WHEN("it is started again with the same id") {
-      registry.OnSent("a");
+      registry.OnSent("a", kStart);
       registry.OnFailure("a", kStart);
       registry.Apply({{"a", MakeWorker("a", 0, 2000)}}, kStart);
       THEN("its requests in progress and failures are reset") {
@@ -133,7 +133,7 @@
     registry.OnReport("a", {4, 1, 6, 1.0}, kStart);
     THEN("requests sent since then are added and ended ones are subtracted") {
       CHECK(Occupancy(*registry.Find("a")) == 5);
-      registry.OnSent("a");
+      registry.OnSent("a", kStart);
       CHECK(Occupancy(*registry.Find("a")) == 6);
       registry.OnEnded("a");
       CHECK(Occupancy(*registry.Find("a")) == 5);
--- a/libs/gateway/include/quetzalhinge/gateway/retry_advice.h
+++ b/libs/gateway/include/quetzalhinge/gateway/retry_advice.h
@@ -3,6 +3,7 @@
 #include <chrono>
 
 #include "quetzalhinge/base/random_id.h"
+#include "quetzalhinge/base/time.h"
 
 namespace qh::gateway {
 
@@ -12,6 +13,8 @@
   kNoFreeSlots,
   /** A worker refused the request although it had just reported free slots. */
   kRefusedDespiteFreeSlots,
+  /** All workers are at the limits that they state. */
+  kWorkerLimits,
 };
 
 /**
@@ -24,4 +27,11 @@
                                            std::chrono::milliseconds target_latency,
                                            RandomGenerator& random);
 
+/**
+ * Returns the same for kWorkerLimits. The caller is told to return when this VM may send a request
+ * again, or somewhat later, since others wait for that too.
+ * @param until_next time until this VM may send a request
+ */
+std::chrono::milliseconds ChooseRetryAfterLimit(Duration until_next, RandomGenerator& random);
+
 }  // namespace qh::gateway
--- a/libs/gateway/src/call_task.cc
+++ b/libs/gateway/src/call_task.cc
@@ -110,6 +110,11 @@
       m_refusal_cause = RefusalCause::kNoFreeSlots;
       WaitForFreeSlot(pick);
       break;
+    case PickStep::kLimited:
+      m_refusal_cause = RefusalCause::kWorkerLimits;
+      m_limit_wait = pick.wait;
+      WaitForFreeSlot(pick);
+      break;
     case PickStep::kNone:
       m_picking = false;
       RespondWithFailure(pick.reason);
@@ -153,7 +158,8 @@
 
 void CallTask::WaitForFreeSlot(const Pick& pick) {
   const Duration waited = m_context.loop.Now() - m_parameters.started_at;
-  if (waited > Scale(m_parameters.route.target_latency, kMaxSlotWaitFraction)) {
+  // If the wait is known to be too long, it is not begun.
+  if (waited + pick.wait > Scale(m_parameters.route.target_latency, kMaxSlotWaitFraction)) {
     m_picking = false;
     RespondWithFailure(pick.reason);
     return;
@@ -197,7 +203,7 @@
        {"occupancy", std::to_string(dispatch::Occupancy(worker))},
        {"ms", MillisSinceStart()}});
   m_pick_request.excluded.insert(pick.worker);
-  m_context.registry.OnSent(pick.worker);
+  m_context.registry.OnSent(pick.worker, now);
   m_context.crash_watch.OnSent(pick.worker, m_parameters.fingerprint);
   const std::size_t index = m_attempts.size();
   const http::ClientRequest request = RequestFor(attempt.worker_connection.worker);
@@ -393,7 +399,9 @@
 
 void CallTask::RespondWithRefusal(const char* reason) {
   const milliseconds wait =
-      ChooseRetryAfter(m_refusal_cause, m_parameters.route.target_latency, m_context.random);
+      m_refusal_cause == RefusalCause::kWorkerLimits
+          ? ChooseRetryAfterLimit(m_limit_wait, m_context.random)
+          : ChooseRetryAfter(m_refusal_cause, m_parameters.route.target_latency, m_context.random);
   Finish(http::HttpResponse{503,
                             {{m_context.headers.request_id, m_parameters.request_id},
                              {"retry-after", FormatSeconds(wait)}},
--- a/libs/gateway/src/call_task.h
+++ b/libs/gateway/src/call_task.h
@@ -88,6 +88,8 @@
   bool m_may_have_run = false;
   /** Cause that is reported if the request is refused now. */
   RefusalCause m_refusal_cause = RefusalCause::kNoFreeSlots;
+  /** Time until a worker's limit allowed this VM a request; only for kWorkerLimits. */
+  Duration m_limit_wait{};
   bool m_deadline_passed = false;
   bool m_finished = false;
   net::Timer m_pick_timer;
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -6,6 +6,7 @@
 #include "quetzalhinge/base/hash.h"
 #include "quetzalhinge/gateway/address_choice.h"
 #include "quetzalhinge/gateway/call_service.h"
+#include "quetzalhinge/gateway/limit_watch.h"
 #include "quetzalhinge/gateway/relayed_store.h"
 #include "quetzalhinge/gateway/revision_lag.h"
 #include "quetzalhinge/gateway/store_copy.h"
@@ -110,6 +111,7 @@
   dispatch::WorkerRegistry registry;
   dispatch::WorkerPicker picker;
   WorkerLinks worker_links;
+  LimitWatch limit_watch;
   gossip::GossipTask gossip;
   CrashWatch crash_watch;
   RetryBudgets budgets;
@@ -141,6 +143,7 @@
         settings(gateway_settings),
         environment(gateway_environment),
         worker_links(loop, metrics, environment.headers, environment.decoder, registry, routes),
+        limit_watch(loop, registry, worker_links, settings.name),
         gossip(loop, random, metrics, GossipOptionsOf(settings), *this),
         crash_watch(loop, worker_links,
                     [this](const membership::Notice& notice) { gossip.Post(notice); }),
@@ -391,12 +394,18 @@
 
   void OnMembersChanged() override {
     std::vector<RelayPeer> peers;
+    std::vector<std::string> vms;
     for (const membership::Member* member : gossip.Members().ActiveMembers(loop.Now())) {
-      if (member->record.zone == settings.zone && member->record.state != MemberState::kLeaving) {
+      if (member->record.state == MemberState::kLeaving) {
+        continue;
+      }
+      vms.push_back(member->record.vm);
+      if (member->record.zone == settings.zone) {
         peers.push_back({member->record.vm, member->record.endpoints.control_rpc});
       }
     }
     relayed_store.SetPeers(peers);
+    limit_watch.SetOtherVms(std::move(vms));
     const std::size_t vm_count = gossip.Members().AllMembers().size() + 1;
     budgets.SetVmCount(vm_count);
     gossip.SetVmCount(vm_count);
@@ -417,6 +426,7 @@
   void Tick() {
     store_copy.Tick();
     relayed_store.Tick();
+    limit_watch.Tick();
     if (stopping_since.has_value()) {
       ContinueStop();
     }
--- a/libs/gateway/src/retry_advice.cc
+++ b/libs/gateway/src/retry_advice.cc
@@ -38,4 +38,10 @@
   return milliseconds(wait(random));
 }
 
+milliseconds ChooseRetryAfterLimit(Duration until_next, RandomGenerator& random) {
+  std::uniform_int_distribution<milliseconds::rep> spread(kMinWaitForSlot.count(),
+                                                          kMaxWaitForSlot.count());
+  return std::chrono::ceil<milliseconds>(until_next) + milliseconds(spread(random));
+}
+
 }  // namespace qh::gateway
--- a/libs/gateway/src/worker_links.cc
+++ b/libs/gateway/src/worker_links.cc
@@ -161,7 +161,8 @@
   }
 
   /** Records the limit that the worker states with a response, or that it states none. */
-  void RecordLimit(WorkerStatus& worker, const http::HttpResponse& response, const char* source) {
+  void RecordLimit(const WorkerStatus& worker, const http::HttpResponse& response,
+                   const char* source) {
     const auto value = http::FindHeader(response.headers, headers.worker_limit);
     const auto limit = value.has_value() ? decoder.DecodeLimit(*value) : std::nullopt;
     if (value.has_value() && !limit.has_value()) {
@@ -169,13 +170,12 @@
                            {{"worker", worker.record.id}, {"value", std::string(*value)}});
       return;
     }
-    if (limit != worker.limit_per_s) {
+    if (registry.Limits().OnStated(worker.record.id, limit, loop.Now())) {
       logging::LogChange("worker", "limit",
                          {{"worker", worker.record.id},
                           {"service", worker.record.service},
                           {"limit_per_s", limit.has_value() ? std::to_string(*limit) : "none"},
                           {"source", source}});
-      worker.limit_per_s = limit;
     }
   }
 
@@ -258,7 +258,7 @@
 
 void WorkerLinks::RecordResponse(const std::string& id, const http::HttpResponse& response) {
   m_impl->RecordLoad(id, response);
-  WorkerStatus* worker = m_impl->registry.Find(id);
+  const WorkerStatus* worker = m_impl->registry.Find(id);
   if (worker != nullptr && response.status != kMisdirected) {
     m_impl->RecordLimit(*worker, response, "response");
   }
--- a/libs/gateway/test/test_retry_advice.cc
+++ b/libs/gateway/test/test_retry_advice.cc
@@ -90,4 +90,13 @@
 }
 
 }  // namespace
+SCENARIO("A caller that is refused because of workers' limits returns when one allows a request") {
+  RandomGenerator random(20261205);
+  for (int i = 0; i < 100; ++i) {
+    const auto wait = ChooseRetryAfterLimit(std::chrono::milliseconds(400), random);
+    CHECK(wait > std::chrono::milliseconds(400));
+    CHECK(wait <= std::chrono::milliseconds(1400));
+  }
+}
+
 }  // namespace qh::gateway
--- a/test/fuzz/test_fuzz.cc
+++ b/test/fuzz/test_fuzz.cc
@@ -170,6 +170,17 @@
       REQUIRE(load->slowdown >= 0);
     }
   }
+
+  InputMutator limit_inputs({"3.5", "120", "0"}, Seed());
+  for (int i = 0; i < kInputs; ++i) {
+    const std::string input = limit_inputs.Next();
+    const auto limit = platform_adapter::ParseLimit(input);
+    if (limit.has_value()) {
+      CAPTURE(i, input);
+      REQUIRE(std::isfinite(*limit));
+      REQUIRE(*limit >= 0);
+    }
+  }
 }
 
 membership::MemberRecord SampleRecord(const std::string& vm) {
