--- a/libs/gateway/src/call_task.cc
+++ b/libs/gateway/src/call_task.cc
@@ -34,8 +34,6 @@
 /** Shortest time in which a worker can respond; with less time left, a retry is useless. */
 constexpr milliseconds kMinAttemptTime{20};
 
-constexpr int kFirstFailureStatus = 300;
-
 std::string FormatSeconds(milliseconds time) {
   constexpr int kMillisPerSecond = 1000;
   const std::string thousandths =
@@ -241,9 +239,9 @@
   request.timeout = left + kMinAttemptTime;
   request.matches_request = [name = names.request_id,
                              id = m_parameters.request_id](const http::HttpResponse& response) {
-    const auto echoed = http::FindHeader(response.headers, name);
-    // A success without a request identifier could belong to another request.
-    return echoed.has_value() ? *echoed == id : response.status >= kFirstFailureStatus;
+    // Probes share the connections of requests and have no identifier. A response without one could
+    // be a late or repeated response to a probe.
+    return http::FindHeader(response.headers, name) == id;
   };
   return request;
 }
--- a/libs/gateway/test/call_fixture.h
+++ b/libs/gateway/test/call_fixture.h
@@ -54,6 +54,8 @@
   kFail,
   kShed,
   kShedWithoutHeader,
+  /** Sends a refusal of an earlier probe once more, then serves the request. */
+  kRepeatOldRefusal,
   kCloseConnection,
   kNeverRespond,
   kCrash
@@ -154,6 +156,10 @@
       case Behaviour::kFail:
         connection.Send(500, id, "x-signature: s\r\n", "failed");
         break;
+      case Behaviour::kRepeatOldRefusal:
+        connection.tcp->Write("HTTP/1.1 503 x\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
+        connection.Send(200, id, "x-signature: s\r\n", "from " + m_id);
+        break;
       case Behaviour::kShedWithoutHeader:
         connection.Send(503, id, "", "");
         break;
--- a/libs/gateway/test/test_calls.cc
+++ b/libs/gateway/test/test_calls.cc
@@ -103,6 +103,16 @@
       CHECK(fixture.ExecutedCount() == 1);
     }
   }
+  // Guards against work that runs twice, or whose caller is told that it has not run, because a
+  // refusal of an earlier request or probe is taken for the response.
+  WHEN("a worker sends an earlier refusal once more before its response") {
+    fixture.SetBehaviour(Behaviour::kRepeatOldRefusal);
+    const http::HttpResponse response = fixture.Call();
+    THEN("the refusal is discarded, because it does not name the request") {
+      CHECK(response.status == 200);
+      CHECK(fixture.ExecutedCount() == 1);
+    }
+  }
   WHEN("a worker sends a failure response") {
     fixture.SetBehaviour(Behaviour::kFail);
     const http::HttpResponse response = fixture.Call();
