--- a/libs/http/include/quetzalhinge/http/message_reader.h
+++ b/libs/http/include/quetzalhinge/http/message_reader.h
@@ -29,6 +29,7 @@
 
 /** Sizes above which a message is rejected. */
 struct ReaderLimits {
+  /** Includes the heads of interim (1xx) responses. */
   std::size_t max_head_bytes = 16 * 1024;
   std::size_t max_head_fields = 128;
   std::size_t max_body_bytes = 64 * 1024 * 1024;
--- a/libs/http/src/message_reader.cc
+++ b/libs/http/src/message_reader.cc
@@ -172,7 +172,6 @@
       impl.response = HttpResponse{};
       impl.head_complete = false;
       impl.reading_value = false;
-      impl.head_bytes = 0;
       return 0;
     }
     impl.complete = true;
--- a/libs/http/test/test_message_reader.cc
+++ b/libs/http/test/test_message_reader.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "quetzalhinge/http/message_reader.h"
 
@@ -117,4 +118,74 @@
   }
 }
 
+// Guards against a response that looks complete although its sender stopped within the head.
+SCENARIO("A response that ends at any byte before its end is not complete") {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n";
+  const std::string with_length = head + "Content-Length: 12\r\n\r\nhello, world";
+  const std::string chunked =
+      head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n, world\r\n0\r\n\r\n";
+  const std::string without_length = head + "\r\nhello, world";
+  const auto ends_after = [](const std::string& bytes) {
+    MessageReader reader(MessageKind::kResponse, {});
+    reader.Read(bytes);
+    const bool is_complete = reader.IsComplete();
+    reader.ReadEnd();
+    return is_complete || reader.IsComplete();
+  };
+  for (const std::string& response : {with_length, chunked}) {
+    REQUIRE(ends_after(response));
+    for (std::size_t size = 0; size < response.size(); ++size) {
+      CAPTURE(response.substr(0, size));
+      CHECK_FALSE(ends_after(response.substr(0, size)));
+    }
+  }
+  for (std::size_t size = 0; size < head.size() + 2; ++size) {
+    CAPTURE(without_length.substr(0, size));
+    CHECK_FALSE(ends_after(without_length.substr(0, size)));
+  }
+}
+
+// Guards against a sender that goes on for ever: its bytes must neither fill the memory nor keep
+// the reader busy.
+SCENARIO("A reader stops at bytes without end") {
+  ReaderLimits limits;
+  limits.max_body_bytes = 100'000;
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n";
+  struct Endless {
+    const char* where;
+    std::string first;
+    std::string repeated;
+  };
+  const std::vector<Endless> cases{
+      {"status text", "HTTP/1.1 200 O", "O"},
+      {"field name", start, "x"},
+      {"field value", start + "X: ", "x"},
+      {"fields", start, "X: y\r\n"},
+      {"blank lines before the head", "", "\r\n"},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"body without a length", start + "\r\n", "body"},
+      {"chunks", chunked, "4\r\nbody\r\n"},
+      {"chunk size", chunked, "0"},
+      {"chunk extension", chunked + "4;", "x"},
+      {"trailer field", chunked + "0\r\nX: ", "x"},
+      {"trailer fields", chunked + "0\r\n", "X: y\r\n"},
+  };
+  for (const Endless& endless : cases) {
+    CAPTURE(endless.where);
+    MessageReader reader(MessageKind::kResponse, limits);
+    reader.Read(endless.first);
+    std::string block;
+    while (block.size() < 8000) {
+      block += endless.repeated;
+    }
+    std::size_t total = 0;
+    while (total < 1'000'000 && !reader.Fault().has_value()) {
+      reader.Read(block);
+      total += block.size();
+    }
+    CHECK(reader.Fault().has_value());
+  }
+}
+
 }  // namespace qh::http
