--- a/libs/gateway/src/worker_links.cc
+++ b/libs/gateway/src/worker_links.cc
@@ -23,6 +23,13 @@
 /** Maximum idle connections per worker. The number of connections in use has no limit. */
 constexpr std::size_t kMaxIdleConnections = 8;
 
+/**
+ * Memory for the bodies of all responses that are being read: an eighth of the memory of a small
+ * entry VM. Each response may have `kFreeBodyBytes` beside that.
+ */
+constexpr std::size_t kMaxBodyBytes = 32 * 1024 * 1024;
+constexpr std::size_t kFreeBodyBytes = 256 * 1024;
+
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 
@@ -42,6 +49,8 @@
   const routes::RouteTable& routes;
   metrics::Counter& probes;
   metrics::Counter& new_connections;
+  std::shared_ptr<http::BodyBudget> body_budget =
+      std::make_shared<http::BodyBudget>(kMaxBodyBytes, kFreeBodyBytes);
   std::map<std::string, Link> links;
   /** Connections of the probes on new connections, by the number of the probe. */
   std::map<std::uint64_t, WorkerConnection> separate_probes;
@@ -60,8 +69,9 @@
 
   std::shared_ptr<http::ClientConnection> OpenConnection(const WorkerRecord& worker) {
     new_connections.Add();
-    return std::make_shared<http::ClientConnection>(loop, worker.address,
-                                                    http::ClientConnectionOptions{});
+    http::ClientConnectionOptions options;
+    options.limits.body_budget = body_budget;
+    return std::make_shared<http::ClientConnection>(loop, worker.address, options);
   }
 
   WorkerConnection Acquire(const std::string& id, bool force_new) {
--- a/libs/gateway/test/call_fixture.h
+++ b/libs/gateway/test/call_fixture.h
@@ -54,6 +54,8 @@
   kFail,
   kShed,
   kShedWithoutHeader,
+  /** Sends a body without end. */
+  kEndlessBody,
   /** Sends a refusal of an earlier probe once more, then serves the request. */
   kRepeatOldRefusal,
   kCloseConnection,
@@ -156,6 +158,10 @@
       case Behaviour::kFail:
         connection.Send(500, id, "x-signature: s\r\n", "failed");
         break;
+      case Behaviour::kEndlessBody:
+        connection.tcp->Write("HTTP/1.1 200 x\r\nx-signature: s\r\nx-id: " + id + "\r\n\r\n" +
+                              std::string(40'000'000, 'x'));
+        break;
       case Behaviour::kRepeatOldRefusal:
         connection.tcp->Write("HTTP/1.1 503 x\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
         connection.Send(200, id, "x-signature: s\r\n", "from " + m_id);
--- a/libs/gateway/test/test_calls.cc
+++ b/libs/gateway/test/test_calls.cc
@@ -113,6 +113,15 @@
       CHECK(fixture.ExecutedCount() == 1);
     }
   }
+  // Guards against a VM that buffers bytes without end until the deadline or the end of its memory.
+  WHEN("a worker sends a body without end") {
+    fixture.SetBehaviour(Behaviour::kEndlessBody);
+    const http::HttpResponse response = fixture.Call();
+    THEN("the attempt ends before the deadline, and the request may have run") {
+      CHECK(response.status == 502);
+      CHECK(fixture.ExecutedCount() == 1);
+    }
+  }
   WHEN("a worker sends a failure response") {
     fixture.SetBehaviour(Behaviour::kFail);
     const http::HttpResponse response = fixture.Call();
--- a/libs/http/include/quetzalhinge/http/message_reader.h
+++ b/libs/http/include/quetzalhinge/http/message_reader.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string_view>
 
+#include "quetzalhinge/http/body_budget.h"
 #include "quetzalhinge/http/http_message.h"
 
 namespace qh::http {
@@ -33,6 +34,8 @@
   std::size_t max_head_bytes = 16 * 1024;
   std::size_t max_head_fields = 128;
   std::size_t max_body_bytes = 64 * 1024 * 1024;
+  /** Limits the bodies of several readers together; null without such a limit. */
+  std::shared_ptr<BodyBudget> body_budget;
 };
 
 /**
--- a/libs/http/src/message_reader.cc
+++ b/libs/http/src/message_reader.cc
@@ -2,6 +2,7 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <cctype>
 #include <utility>
 
@@ -60,6 +61,8 @@
   HttpRequest request;
   HttpResponse response;
   std::size_t head_bytes = 0;
+  /** Bytes of the body that are reserved in the budget. */
+  std::size_t reserved_bytes = 0;
   bool is_response_to_head = false;
   bool reading_value = false;
   bool started = false;
@@ -72,8 +75,31 @@
       : kind(message_kind), limits(reader_limits) {
     Restart();
   }
+  ~Impl() { ReleaseBody(); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  void ReleaseBody() {
+    if (limits.body_budget != nullptr) {
+      limits.body_budget->Release(std::exchange(reserved_bytes, 0));
+    }
+  }
+
+  /** Reserves what a body of `size` bytes needs; returns whether the budget allows it. */
+  bool ReserveBody(std::size_t size) {
+    if (limits.body_budget == nullptr) {
+      return true;
+    }
+    const std::size_t needed = limits.body_budget->Needed(size);
+    if (needed > reserved_bytes && !limits.body_budget->TryReserve(needed - reserved_bytes)) {
+      return false;
+    }
+    reserved_bytes = std::max(reserved_bytes, needed);
+    return true;
+  }
 
   void Restart() {
+    ReleaseBody();
     http_parser_init(&parser, kind == MessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
     parser.data = this;
     request = HttpRequest{};
@@ -159,7 +185,8 @@
 
   static int OnBody(http_parser* parser, const char* bytes, std::size_t size) {
     Impl& impl = From(parser);
-    if (impl.Body().size() + size > impl.limits.max_body_bytes) {
+    const std::size_t body_bytes = impl.Body().size() + size;
+    if (body_bytes > impl.limits.max_body_bytes || !impl.ReserveBody(body_bytes)) {
       return impl.Refuse(ReadFault::kBodyTooLarge);
     }
     impl.Body().append(bytes, size);
@@ -242,7 +269,10 @@
   m_impl->Restart();
 }
 
-void MessageReader::SetLimits(const ReaderLimits& limits) { m_impl->limits = limits; }
+void MessageReader::SetLimits(const ReaderLimits& limits) {
+  m_impl->ReleaseBody();
+  m_impl->limits = limits;
+}
 bool MessageReader::IsStarted() const noexcept { return m_impl->started; }
 bool MessageReader::IsHeadComplete() const noexcept { return m_impl->head_complete; }
 bool MessageReader::IsComplete() const noexcept { return m_impl->complete; }
--- a/libs/http/test/test_message_reader.cc
+++ b/libs/http/test/test_message_reader.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -118,6 +119,39 @@
   }
 }
 
+// Guards against a process that runs out of memory because several peers send bodies without end.
+SCENARIO("Several readers share a limit on the memory for bodies") {
+  ReaderLimits limits;
+  limits.body_budget = std::make_shared<BodyBudget>(100'000, 10'000);
+  const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+  std::vector<std::unique_ptr<MessageReader>> endless;
+  for (int i = 0; i < 5; ++i) {
+    endless.push_back(std::make_unique<MessageReader>(MessageKind::kResponse, limits));
+    endless.back()->Read(head);
+  }
+  for (int block = 0; block < 100; ++block) {
+    for (const auto& reader : endless) {
+      reader->Read(std::string(1000, 'x'));
+    }
+  }
+  THEN("bodies that do not fit are rejected") {
+    CHECK(limits.body_budget->Reserved() <= 100'000);
+    for (const auto& reader : endless) {
+      CHECK(reader->Fault() == ReadFault::kBodyTooLarge);
+    }
+  }
+  THEN("small bodies are still read") {
+    MessageReader reader(MessageKind::kResponse, limits);
+    reader.Read("HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + std::string(9000, 'x'));
+    CHECK(reader.IsComplete());
+  }
+  THEN("the memory is free again after the messages") {
+    endless[0]->Restart();
+    endless.erase(endless.begin() + 1, endless.end());
+    CHECK(limits.body_budget->Reserved() == 0);
+  }
+}
+
 // Guards against a response that looks complete although its sender stopped within the head.
 SCENARIO("A response that ends at any byte before its end is not complete") {
   const std::string head = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n";
