--- a/libs/http/include/quetzalhinge/http/http_client.h
+++ b/libs/http/include/quetzalhinge/http/http_client.h
@@ -46,7 +46,10 @@
    * idle connections: a request sent during such a close may or may not be executed.
    */
   std::chrono::milliseconds idle_timeout{4000};
-  /** Maximum size of a response body. A longer one fails the call at stage kResponseStarted. */
+  /**
+   * Maximum size of a response body. A longer one fails the call at stage kResponseStarted. A head
+   * of more than 16 KB fails it at stage kSent.
+   */
   std::size_t max_response_bytes = 4 * 1024 * 1024;
 };
 
--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -30,6 +30,13 @@
 /** Maximum number of idle connections in the pool. More may be open for calls in progress. */
 constexpr std::size_t kMaxIdleConnections = 256;
 
+/**
+ * Limit of a response head, and the interval at which it is checked. h2o has no such limit and
+ * reports nothing before the head is complete.
+ */
+constexpr std::size_t kMaxHeadBytes = 16 * 1024;
+constexpr milliseconds kHeadCheckInterval{50};
+
 std::string Lower(const h2o_iovec_t& text) {
   std::string lower(text.base, text.len);
   for (char& c : lower) {
@@ -91,10 +98,14 @@
   h2o_http1client_ctx_t context{};
   std::shared_ptr<ConnectionPool> pool;
   std::set<std::shared_ptr<Call>> calls;
+  net::Timer head_check;
 
   Impl(net::EventLoop& event_loop, IpEndpoint peer_endpoint,
        const HttpClientOptions& client_options)
-      : loop(event_loop), peer(std::move(peer_endpoint)), options(client_options) {
+      : loop(event_loop),
+        peer(std::move(peer_endpoint)),
+        options(client_options),
+        head_check(loop, [this] { CheckHeads(); }) {
     h2o_timeout_init(loop.Handle(), io_timeout.get(),
                      static_cast<std::uint64_t>(kIoTimeout.count()));
     context.loop = loop.Handle();
@@ -109,6 +120,16 @@
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
+  void AddCall(const std::shared_ptr<Call>& call) {
+    if (calls.empty()) {
+      head_check.StartRepeating(kHeadCheckInterval);
+    }
+    calls.insert(call);
+  }
+
+  /** Ends the calls whose response heads are too large. */
+  void CheckHeads();
+
   /**
    * Releases `old_pool` in a later iteration of the loop, because h2o returns a connection to its
    * pool only after the last callback of the call.
@@ -147,6 +168,16 @@
     }
   }
 
+  /** Ends the call if its response head is too large although it is not complete. */
+  void CheckHead() {
+    if (m_stage != CallStage::kSent || m_h2o_client == nullptr ||
+        m_h2o_client->sock->input->size <= kMaxHeadBytes) {
+      return;
+    }
+    AbortConnection();
+    Fail(ErrorCode::kProtocol, "read response head", "head is larger than allowed", false);
+  }
+
   void Cancel() override {
     m_cancelled = true;
     if (!m_ended) {
@@ -292,6 +323,9 @@
     // Keeps this object alive until the caller has returned: `calls` may own the last reference.
     const std::shared_ptr<Call> self = shared_from_this();
     m_client->calls.erase(self);
+    if (m_client->calls.empty()) {
+      m_client->head_check.Stop();
+    }
     m_client->loop.Post([self] {});
   }
 
@@ -311,6 +345,14 @@
   bool m_cancelled = false;
 };
 
+void HttpClient::Impl::CheckHeads() {
+  // A copy, because a call that ends leaves the set.
+  const std::set<std::shared_ptr<Call>> checked = calls;
+  for (const std::shared_ptr<Call>& call : checked) {
+    call->CheckHead();
+  }
+}
+
 HttpClient::HttpClient(net::EventLoop& loop, const IpEndpoint& peer,
                        const HttpClientOptions& options)
     : m_impl(std::make_shared<Impl>(loop, peer, options)) {}
@@ -325,7 +367,7 @@
 std::shared_ptr<HttpCall> HttpClient::Start(const HttpRequest& request, milliseconds timeout,
                                             Callback callback) {
   auto call = std::make_shared<Impl::Call>(m_impl, request, false, std::move(callback));
-  m_impl->calls.insert(call);
+  m_impl->AddCall(call);
   call->Begin(timeout);
   return call;
 }
@@ -334,7 +376,7 @@
                                                            milliseconds timeout,
                                                            Callback callback) {
   auto call = std::make_shared<Impl::Call>(m_impl, request, true, std::move(callback));
-  m_impl->calls.insert(call);
+  m_impl->AddCall(call);
   call->Begin(timeout);
   return call;
 }
--- /dev/null
+++ b/libs/http/test/test_client_faults.cc
@@ -0,0 +1,51 @@
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+
+#include "quetzalhinge/http/http_client.h"
+#include "scripted_peer.h"
+
+namespace qh::http {
+namespace {
+
+/** Calls `worker` and returns the result. */
+HttpCallResult Call(net::EventLoop& loop, const ScriptedPeer& worker) {
+  HttpClient client(loop, worker.Endpoint(), {});
+  std::optional<HttpCallResult> result;
+  const auto call = client.Start({"GET", "/", {}, ""}, 60s,
+                                 [&](HttpCallResult value) { result = std::move(value); });
+  RunUntil(loop, [&] { return result.has_value(); });
+  return *result;
+}
+
+}  // namespace
+
+// Guards against a response that looks complete although its sender stopped within it.
+SCENARIO("A client does not return a response that ends before its end") {
+  net::EventLoop loop;
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Id: own\r\n";
+  for (const std::string& response :
+       {head + "Content-Length: 5\r\n\r\nhello",
+        head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"}) {
+    for (std::size_t size = 1; size < response.size(); ++size) {
+      CAPTURE(response.substr(0, size));
+      const ScriptedPeer worker(loop, response.substr(0, size), true);
+      CHECK(std::holds_alternative<HttpCallFailure>(Call(loop, worker)));
+    }
+    const ScriptedPeer worker(loop, response, true);
+    const auto result = Call(loop, worker);
+    REQUIRE(std::holds_alternative<HttpResponse>(result));
+    CHECK(std::get<HttpResponse>(result).body == "hello");
+  }
+}
+
+// Guards against a process that runs out of memory because a peer sends a head without end.
+SCENARIO("A client rejects a response head that is too large before it ends") {
+  net::EventLoop loop;
+  const ScriptedPeer worker(loop, "HTTP/1.1 200 OK\r\nX: " + std::string(100'000, 'x'), false);
+  const auto result = Call(loop, worker);
+  REQUIRE(std::holds_alternative<HttpCallFailure>(result));
+  CHECK(std::get<HttpCallFailure>(result).error.code == ErrorCode::kProtocol);
+}
+
+}  // namespace qh::http
