--- a/libs/gateway/src/store_copy.cc
+++ b/libs/gateway/src/store_copy.cc
@@ -20,7 +20,7 @@
 constexpr double kRemovalDelayFraction = 0.95;
 
 /** Maximum checks of all VMs together in a second during an outage of the store. */
-constexpr std::int64_t kMaxChecksPerSecond = 500;
+constexpr std::int64_t kMaxChecksPerSecond = 200;
 
 /** Tables that each VM checks. */
 constexpr std::int64_t kTables = 2;
