--- a/libs/net/src/event_loop.cc
+++ b/libs/net/src/event_loop.cc
@@ -2,6 +2,7 @@
 
 #include <uv.h>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 #include <vector>
@@ -66,8 +67,11 @@
 }
 
 void EventLoop::RunOnce(std::chrono::milliseconds limit) {
+  // Repeats, because libuv runs due timers before it waits: after a pause of the process that was
+  // longer than `limit`, a timer that runs once would not limit the wait.
+  const auto millis = static_cast<std::uint64_t>(std::max<std::int64_t>(1, limit.count()));
   uv_timer_start(
-      &m_impl->run_limit, [](uv_timer_t*) {}, static_cast<std::uint64_t>(limit.count()), 0);
+      &m_impl->run_limit, [](uv_timer_t*) {}, millis, millis);
   uv_run(&m_impl->loop, UV_RUN_ONCE);
   uv_timer_stop(&m_impl->run_limit);
 }
--- a/libs/net/test/test_net.cc
+++ b/libs/net/test/test_net.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <string>
+#include <thread>
 
 #include "quetzalhinge/net/timer.h"
 #include "quetzalhinge/net/udp_socket.h"
@@ -49,5 +50,17 @@
   }
 }
 
+// Guards against a wait without a limit after a pause of the process that was longer than the
+// limit.
+TEST_CASE("RunOnce() waits no longer than its limit after a pause of the process") {
+  EventLoop loop;
+  bool has_fallback_run = false;
+  Timer fallback(loop, [&] { has_fallback_run = true; });
+  fallback.StartOnce(std::chrono::seconds(10));
+  std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  loop.RunOnce(std::chrono::milliseconds(20));
+  CHECK_FALSE(has_fallback_run);
+}
+
 }  // namespace
 }  // namespace qh::net
