--- a/libs/gateway/src/table_follower.cc
+++ b/libs/gateway/src/table_follower.cc
@@ -133,7 +133,7 @@
       check_needs_full_read = false;
       Accept(ValueOf(result), is_complete);
       EndBackoff();
-    } else if (ErrorOf(result).code == ErrorCode::kConflict) {
+    } else if (ErrorOf(result).code == ErrorCode::kConflict && !is_complete) {
       check_needs_full_read = true;
       StartCheck();
     } else {
