--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # the disruption out. Needs target/bin/qh-gateway (deploy file) and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bin/qh-gateway ] && [ -x target/review/qh-review ] || exit 2
-exec timeout -k 5 110 target/review/qh-review idle-timeout review/4/record.txt >/dev/null
+exec timeout -k 5 110 target/review/qh-review stopped-while-waiting review/4/record.txt >/dev/null
--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -17,6 +18,8 @@
 constexpr int kBroken = 1;
 constexpr int kCannotRun = 2;
 
+const std::string kOrderTaken = "order taken";
+
 constexpr std::size_t kMegabyte = 1024 * 1024;
 constexpr int kReadyTimeoutMs = 20000;
 /** Time for the machines to know all workers after they are ready. */
@@ -48,6 +51,7 @@
   }
 
   Gateway& First() { return m_first; }
+  std::vector<Gateway*> All() { return {&m_first, &m_second, &m_third}; }
 
  private:
   Gateway m_first;
@@ -148,14 +152,87 @@
   return held ? kHeld : kCannotRun;
 }
 
+/** Worker that takes orders: the first ones of a connection at once, the others after `work_ms`. */
+WorkerHandler OrderHandler(int work_ms) {
+  return [work_ms](Worker& worker, const Request& request, int fd) {
+    Record("worker " + worker.Id() + ": runs " + IdOf(request));
+    Sleep(request.path == "/pesanan/first" ? 20 : work_ms);
+    Record("worker " + worker.Id() + ": answers " + IdOf(request));
+    return SendWithLength(worker, request, fd, kOrderTaken);
+  };
+}
+
+/** The platform's limit of memory: kills the process above 260 MB, as DEPLOY.md says. */
+class MemoryLimit {
+ public:
+  explicit MemoryLimit(Gateway& gateway)
+      : m_thread([this, &gateway] {
+          while (!m_over) {
+            const long kb = gateway.MemoryKb();
+            m_peak_kb = std::max(m_peak_kb.load(), kb);
+            if (kb > kLimitKb) {
+              Record("platform: front-1 has " + std::to_string(kb / 1024) +
+                     " MB, memory-mb is 260: killed");
+              gateway.Signal(SIGKILL);
+              return;
+            }
+            Sleep(2);
+          }
+        }) {}
+  ~MemoryLimit() {
+    m_over = true;
+    m_thread.join();
+  }
+  long PeakMb() const { return m_peak_kb / 1024; }
+
+ private:
+  static constexpr long kLimitKb = 260 * 1024;
+  std::atomic<bool> m_over{false};
+  std::atomic<long> m_peak_kb{0};
+  std::thread m_thread;
+};
+
+/** Starts callers that each send a small order and, `pause_ms` later, one on the same connection.
+ */
+void SendOrders(const Gateway& gateway, int count, int pause_ms, std::vector<std::thread>& callers,
+                std::atomic<int>& unanswered, std::atomic<int>& failed) {
+  for (int i = 0; i < count; ++i) {
+    callers.emplace_back([&gateway, &unanswered, &failed, i, pause_ms] {
+      const int fd = Connect(gateway.Callers());
+      const std::string number = std::to_string(i);
+      SendAll(fd, RequestText("POST", "/pesanan/first", "first-" + number, 5000, "an order"));
+      const Answer first = ReadAnswer(fd, 0, 5000);
+      RecordAnswer("first-" + number, first, kOrderTaken.size());
+      Sleep(pause_ms);
+      SendAll(fd, RequestText("POST", "/pesanan/next", "order-" + number, 5000, "an order"));
+      Record("caller: sent order-" + number + " on the same connection");
+      const Answer answer = ReadAnswer(fd, 0, 6000);
+      RecordAnswer("order-" + number, answer, kOrderTaken.size());
+      unanswered += answer.complete ? 0 : 1;
+      failed += IsWholeSuccess(answer, kOrderTaken) ? 0 : 1;
+      close(fd);
+    });
+  }
+}
+
+int ReportMemory(const MemoryLimit& memory, int unanswered, int failed) {
+  Record("peak memory of front-1 " + std::to_string(memory.PeakMb()) + " MB; " +
+         std::to_string(unanswered) +
+         " orders passed on from a kept connection ended without an answer");
+  if (unanswered > 3) {
+    Record("broken: more than three");
+    return kBroken;
+  }
+  return Trouble() || failed == 0 ? kHeld : kCannotRun;
+}
+
 /** Case 2: more callers than usual upload orders at once, and the process outgrows its memory. */
 int BurstOfUploads() {
   constexpr int kUsualUploads = 3;
   constexpr int kBurstUploads = 5;
-  constexpr std::size_t kUploadBytes = 28 * kMegabyte;
+  constexpr std::size_t kUploadBytes = 25 * kMegabyte;
   constexpr int kUploadBytesPerSecond = 9 * kMegabyte;
   constexpr int kOrders = 8;
-  constexpr long kMemoryLimitKb = 260 * 1024;
   const std::string upload = Body(kUploadBytes);
   Store& store = *new Store;
   store.Put("op", "config",
@@ -163,40 +240,18 @@
                               {{"/pesanan/", "unsafe", "pesanan", "8s", "2s"},
                                {"/gudang/", "unsafe", "gudang", "8s", "2s"}},
                               {"pesanan", "gudang"}));
-  const auto handler = [&](int work_ms) {
-    return [work_ms](Worker& worker, const Request& request, int fd) {
-      Record("worker " + worker.Id() + ": runs " + IdOf(request));
-      Sleep(request.path == "/pesanan/first" ? 20 : work_ms);
-      Record("worker " + worker.Id() + ": answers " + IdOf(request));
-      return SendWithLength(worker, request, fd, "order taken");
-    };
-  };
   for (const char* id : {"i-1", "i-2", "i-3"}) {
-    new Worker(store, id, "pesanan", "jawa-barat", handler(3000));
+    new Worker(store, id, "pesanan", "jawa-barat", OrderHandler(3000));
   }
   for (const char* id : {"i-4", "i-5"}) {
-    new Worker(store, id, "gudang", "jawa-barat", handler(1500));
+    new Worker(store, id, "gudang", "jawa-barat", OrderHandler(1500));
   }
   Deployment deployment(store);
   if (!deployment.Start()) {
     return kCannotRun;
   }
   Gateway& gateway = deployment.First();
-  std::atomic<bool> over{false};
-  std::atomic<long> peak_kb{0};
-  std::thread platform([&] {
-    while (!over) {
-      const long kb = gateway.MemoryKb();
-      peak_kb = std::max(peak_kb.load(), kb);
-      if (kb > kMemoryLimitKb) {
-        Record("platform: front-1 has " + std::to_string(kb / 1024) +
-               " MB, memory-mb is 260: killed");
-        gateway.Signal(SIGKILL);
-        return;
-      }
-      Sleep(2);
-    }
-  });
+  MemoryLimit memory(gateway);
   const int uploads = Trouble() ? kBurstUploads : kUsualUploads;
   std::vector<std::thread> callers;
   std::atomic<int> unanswered{0};
@@ -210,41 +265,71 @@
       Record("caller: " + id + (sent ? " sent, " : " could not be sent, ") +
              std::to_string(upload.size() / kMegabyte) + " MB");
       const Answer answer = ReadAnswer(fd, 0, 12000);
-      RecordAnswer(id, answer, std::strlen("order taken"));
-      failed += IsWholeSuccess(answer, "order taken") ? 0 : 1;
+      RecordAnswer(id, answer, kOrderTaken.size());
+      failed += IsWholeSuccess(answer, kOrderTaken) ? 0 : 1;
       close(fd);
     });
   }
-  for (int i = 0; i < kOrders; ++i) {
+  SendOrders(gateway, kOrders, 2500, callers, unanswered, failed);
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  return ReportMemory(memory, unanswered, failed);
+}
+
+/** Case 5: more callers than usual read large answers slowly, and the process outgrows its memory.
+ */
+int BurstOfAnswers() {
+  constexpr int kUsualCallers = 12;
+  constexpr int kBurstCallers = 20;
+  constexpr int kBytesPerSecond = 1200 * 1024;
+  constexpr int kOrders = 8;
+  const std::string body = Body(13 * kMegabyte);
+  Store& store = *new Store;
+  store.Put("op", "config",
+            ConfigurationText(1,
+                              {{"/pesanan/", "unsafe", "pesanan", "8s", "2s"},
+                               {"/katalog/", "safe", "katalog", "8s", "2s"}},
+                              {"pesanan", "katalog"}));
+  const WorkerHandler catalogue = [&](Worker& worker, const Request& request, int fd) {
+    Record("worker " + worker.Id() + ": runs " + IdOf(request));
+    return SendWithLength(worker, request, fd, body);
+  };
+  for (const char* id : {"i-1", "i-2", "i-3"}) {
+    new Worker(store, id, "pesanan", "jawa-barat", OrderHandler(3000));
+  }
+  for (const char* id : {"i-4", "i-5", "i-6", "i-7"}) {
+    new Worker(store, id, "katalog", "jawa-barat", catalogue);
+  }
+  Deployment deployment(store);
+  if (!deployment.Start()) {
+    return kCannotRun;
+  }
+  Gateway& gateway = deployment.First();
+  MemoryLimit memory(gateway);
+  const int readers = Trouble() ? kBurstCallers : kUsualCallers;
+  std::vector<std::thread> callers;
+  std::atomic<int> unanswered{0};
+  std::atomic<int> failed{0};
+  for (int i = 0; i < readers; ++i) {
     callers.emplace_back([&, i] {
-      const int fd = Connect(gateway.Callers());
-      const std::string number = std::to_string(i);
-      SendAll(fd, RequestText("POST", "/pesanan/first", "first-" + number, 5000, "an order"));
-      const Answer first = ReadAnswer(fd, 0, 5000);
-      RecordAnswer("first-" + number, first, std::strlen("order taken"));
-      Sleep(2500);
-      SendAll(fd, RequestText("POST", "/pesanan/next", "order-" + number, 5000, "an order"));
-      Record("caller: sent order-" + number + " on the same connection");
-      const Answer answer = ReadAnswer(fd, 0, 6000);
-      RecordAnswer("order-" + number, answer, std::strlen("order taken"));
-      unanswered += answer.complete ? 0 : 1;
-      failed += IsWholeSuccess(answer, "order taken") ? 0 : 1;
+      // One after the other, so that the answers of the workers don't arrive at the same time.
+      Sleep(150 * i);
+      const std::string id = "all-" + std::to_string(i);
+      const int fd = Connect(gateway.Callers(), kUsualNetwork);
+      SendAll(fd, RequestText("GET", "/katalog/all", id, 15000));
+      Record("caller: sent " + id + "; reads 1.2 MB a second");
+      const Answer answer = ReadAnswer(fd, kBytesPerSecond, 15000);
+      RecordAnswer(id, answer, body.size());
+      failed += IsWholeSuccess(answer, body) ? 0 : 1;
       close(fd);
     });
   }
+  SendOrders(gateway, kOrders, 1500, callers, unanswered, failed);
   for (std::thread& caller : callers) {
     caller.join();
   }
-  over = true;
-  platform.join();
-  Record("peak memory of front-1 " + std::to_string(peak_kb / 1024) + " MB; " +
-         std::to_string(unanswered) +
-         " orders passed on from a kept connection ended without an answer");
-  if (unanswered > 3) {
-    Record("broken: more than three");
-    return kBroken;
-  }
-  return Trouble() || failed == 0 ? kHeld : kCannotRun;
+  return ReportMemory(memory, unanswered, failed);
 }
 
 /** Case 3: a planned stop while an answer is on its way to the caller. */
@@ -306,7 +391,78 @@
   return kHeld;
 }
 
-/** Case 4: a version with a shorter idle-timeout comes while callers read their answers. */
+/** Case 4: a planned stop while requests wait at workers that were full and so never respond. */
+int StoppedWhileWaiting() {
+  constexpr int kOrdersPerMachine = 8;
+  constexpr int kQueue = 2;
+  constexpr int kWorkMs = 1500;
+  Store& store = *new Store;
+  store.Put("op", "config",
+            ConfigurationText(1, {{"/gudang/", "unsafe", "gudang", "8s", "2s"}}, {"gudang"}));
+  const WorkerHandler handler = [&](Worker& worker, const Request& request, int fd) {
+    Record("worker " + worker.Id() + ": runs " + IdOf(request));
+    Sleep(kWorkMs);
+    return SendWithLength(worker, request, fd, kOrderTaken);
+  };
+  new Worker(store, "i-1", "gudang", "jawa-barat", handler, kQueue);
+  new Worker(store, "i-2", "gudang", "jawa-tengah", handler, kQueue);
+  Deployment deployment(store);
+  if (!deployment.Start()) {
+    return kCannotRun;
+  }
+  const std::vector<Gateway*> machines = deployment.All();
+  std::vector<std::thread> callers;
+  std::atomic<int> unanswered{0};
+  std::atomic<long long> signalled_at{0};
+  for (std::size_t machine = 0; machine < machines.size(); ++machine) {
+    for (int i = 0; i < kOrdersPerMachine; ++i) {
+      callers.emplace_back([&, machine, i] {
+        const std::string number = std::to_string(machine + 1);
+        const std::string id = "r-" + number + "-" + std::to_string(i);
+        const int fd = Connect(machines[machine]->Callers());
+        SendAll(fd, RequestText("POST", "/gudang/x", id, 15000, "an order"));
+        Record("caller: sent " + id + " to front-" + number);
+        const Answer answer = ReadAnswer(fd, 0, 14000);
+        RecordAnswer(id, answer, kOrderTaken.size());
+        const std::vector<std::string> unqueued = UnqueuedRequests();
+        const bool passed_on = std::count(unqueued.begin(), unqueued.end(), id) > 0;
+        const bool in_time = signalled_at > 0 && NowMs() - signalled_at < 7000;
+        unanswered += passed_on && !answer.complete && answer.end != "timeout" && in_time ? 1 : 0;
+        close(fd);
+      });
+    }
+  }
+  Sleep(500);
+  // The machine with the most requests at full workers is stopped.
+  std::vector<int> waiting(machines.size());
+  for (const std::string& id : UnqueuedRequests()) {
+    ++waiting[static_cast<std::size_t>(id[2] - '1')];
+  }
+  const auto most = std::max_element(waiting.begin(), waiting.end());
+  const auto stopped = static_cast<std::size_t>(most - waiting.begin());
+  if (Trouble()) {
+    signalled_at = NowMs();
+    Record("trouble: SIGTERM to front-" + std::to_string(stopped + 1) + ", grace is 6 s");
+    machines[stopped]->Signal(SIGTERM);
+    if (!machines[stopped]->WaitForExit(6000)) {
+      Record("platform: SIGKILL after the grace");
+      machines[stopped]->Signal(SIGKILL);
+    }
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  Record(std::to_string(*most) + " requests of front-" + std::to_string(stopped + 1) +
+         " waited at full workers; " + std::to_string(unanswered) +
+         " of all ended without an answer after the SIGTERM");
+  if (*most == 0) {
+    return kCannotRun;
+  }
+  return unanswered > 0 ? kBroken : kHeld;
+}
+
+/** Not a case of its own, see REPORT.md: a version with a shorter idle-timeout comes while callers
+ * read their answers. */
 int IdleTimeoutWhileSending() {
   constexpr int kBytesPerSecond = 2 * kMegabyte;
   constexpr int kCallers = 5;
@@ -383,8 +539,12 @@
     result = KilledWhileSending();
   } else if (name == "burst-of-uploads") {
     result = BurstOfUploads();
+  } else if (name == "burst-of-answers") {
+    result = BurstOfAnswers();
   } else if (name == "stopped-while-sending") {
     result = StoppedWhileSending();
+  } else if (name == "stopped-while-waiting") {
+    result = StoppedWhileWaiting();
   } else if (name == "idle-timeout") {
     result = IdleTimeoutWhileSending();
   }
--- a/review/standin/rig.cpp
+++ b/review/standin/rig.cpp
@@ -24,6 +24,8 @@
 
 std::mutex g_record_mutex;
 std::ofstream g_record;
+std::mutex g_unqueued_mutex;
+std::vector<std::string> g_unqueued;
 const Clock::time_point g_start = Clock::now();
 
 sockaddr_in Sockaddr(const Address& address) {
@@ -397,13 +399,14 @@
 }
 
 Worker::Worker(Store& store, std::string id, std::string service, std::string zone,
-               WorkerHandler handler)
+               WorkerHandler handler, int queue)
     : m_store(store),
       m_id(std::move(id)),
       m_service(std::move(service)),
       m_zone(std::move(zone)),
       m_handler(std::move(handler)),
-      m_address{"127.0.0.1", 0} {
+      m_address{"127.0.0.1", 0},
+      m_queue(queue) {
   m_listener = Listen(m_address);
   AcceptLoop(m_listener, [this](int fd) { Serve(fd); });
   WriteRow();
@@ -435,8 +438,34 @@
   return "HTTP/1.1 " + status +
          "\r\nQuetzalhinge-Request-Id: " + request.Header("quetzalhinge-request-id") +
          "\r\nQuetzalhinge-Response-Signature: receipt-" +
-         request.Header("quetzalhinge-request-id") +
-         "\r\nQuetzalhinge-Instance-Load: " + std::to_string(m_running) + ",0,6,100\r\n";
+         request.Header("quetzalhinge-request-id") + "\r\nQuetzalhinge-Instance-Load: " + Load() +
+         "\r\n";
+}
+
+bool Worker::TakeSlot() {
+  std::unique_lock lock(m_slots_mutex);
+  if (m_running >= kSlots) {
+    if (m_waiting >= m_queue) {
+      return false;
+    }
+    ++m_waiting;
+    m_slot_freed.wait(lock, [this] { return m_running < kSlots; });
+    --m_waiting;
+  }
+  ++m_running;
+  return true;
+}
+
+void Worker::FreeSlot() {
+  const std::lock_guard lock(m_slots_mutex);
+  --m_running;
+  m_slot_freed.notify_one();
+}
+
+std::string Worker::Load() const {
+  const std::lock_guard lock(m_slots_mutex);
+  return std::to_string(m_running) + "," + std::to_string(m_waiting) + "," +
+         std::to_string(kSlots) + ",100";
 }
 
 void Worker::Serve(int fd) {
@@ -457,15 +486,30 @@
                       "\r\nQuetzalhinge-Instance-Id: " + m_id + "\r\nContent-Length: 0\r\n\r\n");
       continue;
     }
-    ++m_running;
+    if (!TakeSlot()) {
+      {
+        const std::lock_guard lock(g_unqueued_mutex);
+        g_unqueued.push_back(request->Header("quetzalhinge-request-id"));
+      }
+      Record("worker " + m_id + ": full, never responds to " +
+             request->Header("quetzalhinge-request-id"));
+      while (reader.Next().has_value()) {
+      }
+      return;
+    }
     const bool stays = m_handler(*this, *request, fd);
-    --m_running;
+    FreeSlot();
     if (!stays) {
       return;
     }
   }
 }
 
+std::vector<std::string> UnqueuedRequests() {
+  const std::lock_guard lock(g_unqueued_mutex);
+  return g_unqueued;
+}
+
 const std::string& TemporaryFolder() {
   struct Folder {
     std::string path;
--- a/review/standin/rig.hpp
+++ b/review/standin/rig.hpp
@@ -121,8 +121,14 @@
 /** A worker, which registers itself and sends its status report every 1.5 s. */
 class Worker {
  public:
-  Worker(Store& store, std::string id, std::string service, std::string zone,
-         WorkerHandler handler);
+  /**
+   * @param queue requests that wait for a slot at most; like the workers with on_full = "hang", the
+   *     worker never responds to a request that it can't queue, nor to later ones on its connection
+   */
+  Worker(Store& store, std::string id, std::string service, std::string zone, WorkerHandler handler,
+         int queue = kNoLimit);
+  static constexpr int kSlots = 6;
+  static constexpr int kNoLimit = 1000;
   ~Worker();
   const std::string& Id() const { return m_id; }
   /** Head lines that each answer of a worker to `request` has, with the receipt. */
@@ -130,6 +136,10 @@
 
  private:
   void Serve(int fd);
+  /** Waits for a slot; returns false if the request can't be queued. */
+  bool TakeSlot();
+  void FreeSlot();
+  std::string Load() const;
   void WriteRow();
   Store& m_store;
   std::string m_id;
@@ -139,11 +149,18 @@
   Address m_address;
   int m_listener = -1;
   std::atomic<int> m_sequence{0};
-  std::atomic<int> m_running{0};
+  int m_queue;
+  mutable std::mutex m_slots_mutex;
+  std::condition_variable m_slot_freed;
+  int m_running = 0;
+  int m_waiting = 0;
   std::atomic<bool> m_stopped{false};
   std::thread m_heartbeat;
 };
 
+/** Ids of the requests that full workers got and will never respond to. */
+std::vector<std::string> UnqueuedRequests();
+
 /** One machine: the program of the deploy file with its settings in a temporary folder. */
 class Gateway {
  public:
