Log responses of the store that were under way for long, and the newest change of each table

The logs could not tell whether a copy was late because nobody asked or because a response arrived long after the store had made it, nor which table an announced change found behind (hypotheses 2 and 3 of docs/incidents/2026-12-05-reader-cut-off-from-the-store.md).

--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -224,9 +224,13 @@
     }
   }
 
+  std::uint64_t NewestChangeOf(const std::string& table) const {
+    return relayed_store.NewestChange(table);
+  }
+
   std::uint64_t NewestKnownChange() const {
-    return std::max(relayed_store.NewestChange(environment.layout.configuration_table),
-                    relayed_store.NewestChange(environment.layout.workers_table));
+    return std::max(NewestChangeOf(environment.layout.configuration_table),
+                    NewestChangeOf(environment.layout.workers_table));
   }
 
   /** Starts the timer for the check of the lag if it is not running yet. */
@@ -247,10 +251,14 @@
       WatchRevisionLag();
     } else if (due.has_value() && is_reading) {
       const Duration behind = loop.Now() - *revision_lag.BehindSince();
-      logging::LogDecision("store", "behind revision announced by peer",
-                           {{"known", std::to_string(NewestKnownChange())},
-                            {"heard", std::to_string(revision_lag.Newest())},
-                            {"behind_ms", std::to_string(ToMillis(behind))}});
+      logging::LogDecision(
+          "store", "behind revision announced by peer",
+          {{"known", std::to_string(NewestKnownChange())},
+           {"known_configuration",
+            std::to_string(NewestChangeOf(environment.layout.configuration_table))},
+           {"known_workers", std::to_string(NewestChangeOf(environment.layout.workers_table))},
+           {"heard", std::to_string(revision_lag.Newest())},
+           {"behind_ms", std::to_string(ToMillis(behind))}});
       store_copy.CheckNow();
     }
   }
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -8,6 +8,7 @@
 #include "peer_request_handler.h"
 #include "peer_rows_client.h"
 #include "quetzalhinge/gateway/row_copy.h"
+#include "quetzalhinge/gateway/store_clock.h"
 #include "quetzalhinge/logging/log.h"
 #include "quetzalhinge/net/timer.h"
 #include "read_pace.h"
@@ -27,6 +28,9 @@
 /** During an outage up to this length, no entries in the store expire. */
 constexpr milliseconds kShortOutage{300};
 
+/** Time on the way from which a response is logged as late, as a fraction of `apply_within`. */
+constexpr double kLateResponseFraction = 0.1;
+
 /** Time after which a failure no longer indicates that the store is unavailable. */
 constexpr milliseconds kFailureRetention{1500};
 
@@ -66,6 +70,7 @@
   PeerRequestHandler peer_request_handler{loop, state};
   PeerRowsClient peer_rows;
   std::map<std::string, TableRead> table_reads;
+  StoreClock store_clock;
   TimePoint store_failed_at{};
   /** Table whose read failed first in an outage; other tables wait until a read of it succeeds. */
   std::string outage_probe_table;
@@ -232,9 +237,29 @@
     }
   }
 
+  /** Records when the store made a response, and logs a late one. */
+  void RecordStoreTime(const std::string& table, TimePoint started_at,
+                       const store::TableRows& rows) {
+    if (!rows.store_time.has_value()) {
+      return;
+    }
+    store_clock.OnResponse(*rows.store_time, started_at, loop.Now());
+    const Duration delay = loop.Now() - *store_clock.LocalTimeOf(*rows.store_time);
+    if (delay > apply_within * kLateResponseFraction) {
+      logging::LogDecision("store", "late response",
+                           {{"table", table},
+                            {"version", std::to_string(rows.version)},
+                            {"rows", std::to_string(rows.rows.size())},
+                            {"delay_ms", std::to_string(ToMillis(delay))}});
+    }
+  }
+
   /** Records whether the store responds to this VM. */
   void RecordStoreResult(const std::string& table, TimePoint started_at,
                          const Result<store::TableRows>& result) {
+    if (IsOk(result)) {
+      RecordStoreTime(table, started_at, ValueOf(result));
+    }
     if (IsOk(result) || ErrorOf(result).code == ErrorCode::kConflict) {
       OnStoreResponding();
       return;
--- a/libs/store/include/quetzalhinge/store/table_store.h
+++ b/libs/store/include/quetzalhinge/store/table_store.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,11 @@
   std::vector<StoredRow> rows;
   /** Newest store version that the rows reflect; pass it to AwaitChanges() for later changes. */
   std::uint64_t version = 0;
+  /**
+   * Reading of the store's steady clock when it made the response; absent if the store has none or
+   * the rows come from elsewhere.
+   */
+  std::optional<std::chrono::milliseconds> store_time = std::nullopt;
 };
 
 /**
