Count the age of rows from when the store made the response, not from its receipt

Callers could see a configuration up to 1.2 s longer than intended: a response with changes that was under way behind a cut, or on a link that loses packets, counted as current on receipt, here and at every VM that reads from this one, so that the next check came that much too late. The class: knowledge counted from when a message arrived, not from when it was true.

The reading of the store's clock in the response says when it was made; without one, a response with changes counts from its request. test_relay, test_store_copy, test_table_follower pass.

--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -282,11 +282,8 @@
     RecordStoreResult(table, wait.started_at, result);
     state.tables[table].reader = {};
     if (IsOk(result)) {
-      // A process that stood still finds old responses in its sockets. A response without changes
-      // was sent when the wait ended, at the latest.
-      const bool has_changes = after.has_value() && !ValueOf(result).rows.empty();
-      const TimePoint current_at = has_changes ? loop.Now() : std::min(loop.Now(), wait.end);
-      UpdateTable(table, sequence, ValueOf(result), !after.has_value(), current_at, true);
+      UpdateTable(table, sequence, ValueOf(result), !after.has_value(),
+                  CurrentAt(ValueOf(result), wait), true);
     } else if (ErrorOf(result).code != ErrorCode::kConflict && peers_tried < kMaxPeersTried) {
       // The store may refuse this VM but serve other VMs.
       ReadFromNextSource(table, after, sequence, peers_tried + 1);
@@ -295,6 +292,19 @@
     Complete(table, sequence, result);
   }
 
+  /**
+   * Returns when `rows` were current, at the latest. Their response may have been under way, or in
+   * the socket of a process that stood still, for some time.
+   */
+  TimePoint CurrentAt(const store::TableRows& rows, const StoreWait& wait) const {
+    const TimePoint now = loop.Now();
+    if (rows.store_time.has_value()) {
+      return std::clamp(*store_clock.LocalTimeOf(*rows.store_time), wait.started_at, now);
+    }
+    // A response without changes was sent when the wait ended, at the latest.
+    return rows.rows.empty() ? std::min(now, wait.end) : wait.started_at;
+  }
+
   void OnStoreResponding() {
     selector.OnSuccess(own_vm);
     if (state.store_failing_since.has_value()) {
