Count the age of a peer's rows from when the peer sent them

A VM counted the rows of a peer as current on receipt, less the age that the peer stated. Rows that were under way on a slow or lossy link, or that waited in a socket, looked fresher by that time, and the next check of the store came that much too late. The peer now states how long it held the request, so that the VM knows when the response was sent without comparing clocks: not before its request plus that time. Rows of an earlier release, without it, count from the request. test_relay, test_row_copy, test_fuzz pass.

--- a/libs/gateway/include/quetzalhinge/gateway/row_copy.h
+++ b/libs/gateway/include/quetzalhinge/gateway/row_copy.h
@@ -62,6 +62,8 @@
   store::TableRows rows;
   /** Time since the rows were last known to be current at the store. */
   Duration age{};
+  /** Time from the receipt of the request to the response. */
+  Duration held{};
   /** Time since the store recovered from its last outage; absent if the sender reports none. */
   std::optional<Duration> since_outage;
 };
--- a/libs/gateway/src/peer_request_handler.cc
+++ b/libs/gateway/src/peer_request_handler.cc
@@ -51,34 +51,33 @@
          m_loop.Now() - *state.fresh_at <= kMaxRelayAge;
 }
 
-void PeerRequestHandler::RespondWithRows(http::ServerExchange& exchange, const TableState& state,
+void PeerRequestHandler::RespondWithRows(const Request& request, const TableState& state,
                                          const store::TableRows& rows) const {
   std::size_t bytes = 0;
   for (const store::StoredRow& row : rows.rows) {
     bytes += row.value.size();
   }
   if (bytes > kMaxRelayedBytes || state.rows.HasOmittedValue(rows)) {
-    exchange.Respond({kRelayTooLarge, {}, "", false});
+    request.exchange->Respond({kRelayTooLarge, {}, "", false});
     return;
   }
   const TimePoint now = m_loop.Now();
-  RelayedRows relayed{rows, now - *state.fresh_at, std::nullopt};
+  RelayedRows relayed{rows, now - *state.fresh_at, now - request.received_at, std::nullopt};
   if (m_state.store_recovered_at.has_value() &&
       now - *m_state.store_recovered_at < kOutageReportTime) {
     relayed.since_outage = now - *m_state.store_recovered_at;
   }
-  exchange.Respond({kRelayOk, {}, EncodeRows(relayed), false});
+  request.exchange->Respond({kRelayOk, {}, EncodeRows(relayed), false});
 }
 
-bool PeerRequestHandler::RespondIfChanged(http::ServerExchange& exchange, const TableState& state,
-                                          std::uint64_t after) const {
-  const auto changes = state.rows.ChangesSince(after);
+bool PeerRequestHandler::RespondIfChanged(const Request& request, const TableState& state) const {
+  const auto changes = state.rows.ChangesSince(request.after);
   if (!changes.has_value()) {
-    exchange.Respond({kRelayHistoryGone, {}, "", false});
+    request.exchange->Respond({kRelayHistoryGone, {}, "", false});
     return true;
   }
   if (!changes->rows.empty()) {
-    RespondWithRows(exchange, state, *changes);
+    RespondWithRows(request, state, *changes);
     return true;
   }
   return false;
@@ -100,42 +99,44 @@
     Refuse(*exchange, state);
     return;
   }
+  const TimePoint now = m_loop.Now();
+  Request request{std::move(exchange), table, QueryNumber(path, "after"), now, now};
   if (!http::QueryParameter(path, "after").has_value()) {
-    RespondWithRows(*exchange, state, state.rows.All());
+    RespondWithRows(request, state, state.rows.All());
     return;
   }
-  const std::uint64_t after = QueryNumber(path, "after");
-  if (!RespondIfChanged(*exchange, state, after)) {
+  if (!RespondIfChanged(request, state)) {
     const std::uint64_t wait =
         std::min<std::uint64_t>(kMaxPeerWait.count(), QueryNumber(path, "wait"));
-    m_waiters.push_back({std::move(exchange), table, after, m_loop.Now() + milliseconds(wait)});
+    request.until = now + milliseconds(wait);
+    m_waiters.push_back(std::move(request));
   }
 }
 
 template <typename Predicate>
 void PeerRequestHandler::RetainWaiters(const Predicate& must_wait) {
-  std::vector<Waiter> waiters = std::exchange(m_waiters, {});
-  std::erase_if(waiters, [&](const Waiter& waiter) { return !must_wait(waiter); });
+  std::vector<Request> waiters = std::exchange(m_waiters, {});
+  std::erase_if(waiters, [&](const Request& waiter) { return !must_wait(waiter); });
   m_waiters = std::move(waiters);
 }
 
 void PeerRequestHandler::OnRows(const std::string& table) {
   const TableState& state = StateOf(table);
   const bool is_fresh = IsFresh(state);
-  RetainWaiters([&](const Waiter& waiter) {
+  RetainWaiters([&](const Request& waiter) {
     if (waiter.table != table) {
       return true;
     }
-    const bool has_responded = RespondIfChanged(*waiter.exchange, state, waiter.after);
+    const bool has_responded = RespondIfChanged(waiter, state);
     if (!has_responded && is_fresh) {
-      RespondWithRows(*waiter.exchange, state, {{}, state.rows.Version()});
+      RespondWithRows(waiter, state, {{}, state.rows.Version()});
     }
     return !has_responded && !is_fresh;
   });
 }
 
 void PeerRequestHandler::OnStoreFailed(const std::string& table) {
-  RetainWaiters([&](const Waiter& waiter) {
+  RetainWaiters([&](const Request& waiter) {
     if (waiter.table != table) {
       return true;
     }
@@ -145,7 +146,7 @@
 }
 
 void PeerRequestHandler::Tick() {
-  RetainWaiters([&](const Waiter& waiter) {
+  RetainWaiters([&](const Request& waiter) {
     if (!waiter.exchange->IsConnected()) {
       return false;
     }
@@ -154,7 +155,7 @@
     }
     const TableState& state = StateOf(waiter.table);
     if (IsFresh(state)) {
-      RespondWithRows(*waiter.exchange, state, {{}, state.rows.Version()});
+      RespondWithRows(waiter, state, {{}, state.rows.Version()});
     } else {
       Refuse(*waiter.exchange, state);
     }
--- a/libs/gateway/src/peer_request_handler.h
+++ b/libs/gateway/src/peer_request_handler.h
@@ -39,20 +39,21 @@
   void Tick();
 
  private:
-  struct Waiter {
+  struct Request {
     std::shared_ptr<http::ServerExchange> exchange;
     std::string table;
     std::uint64_t after = 0;
+    TimePoint received_at;
+    /** When the wait for changes ends. */
     TimePoint until;
   };
 
   const TableState& StateOf(const std::string& table) const;
   bool IsFresh(const TableState& state) const;
-  void RespondWithRows(http::ServerExchange& exchange, const TableState& state,
+  void RespondWithRows(const Request& request, const TableState& state,
                        const store::TableRows& rows) const;
-  /** Sends the changes since `after` if there are any; returns whether a response was sent. */
-  bool RespondIfChanged(http::ServerExchange& exchange, const TableState& state,
-                        std::uint64_t after) const;
+  /** Sends the requested changes if there are any; returns whether a response was sent. */
+  bool RespondIfChanged(const Request& request, const TableState& state) const;
   void Refuse(http::ServerExchange& exchange, const TableState& state) const;
 
   /**
@@ -64,7 +65,7 @@
 
   net::EventLoop& m_loop;
   const RelayState& m_state;
-  std::vector<Waiter> m_waiters;
+  std::vector<Request> m_waiters;
 };
 
 }  // namespace qh::gateway
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -390,7 +390,10 @@
     if (value.since_outage.has_value()) {
       OnOutageEnded(loop.Now() - *value.since_outage);
     }
-    UpdateTable(table, sequence, value.rows, !after.has_value(), loop.Now() - value.age, false);
+    // The response may have been under way for some time. The peer received the request at
+    // `started_at` at the earliest.
+    const TimePoint sent_at = std::min(loop.Now(), started_at + value.held);
+    UpdateTable(table, sequence, value.rows, !after.has_value(), sent_at - value.age, false);
     Complete(table, sequence, value.rows);
   }
 
--- a/libs/gateway/src/row_copy.cc
+++ b/libs/gateway/src/row_copy.cc
@@ -103,6 +103,7 @@
   }
   json body = {{"version", relayed.rows.version},
                {"age_ms", ToMillis(relayed.age)},
+               {"held_ms", ToMillis(relayed.held)},
                {"rows", std::move(list)}};
   if (relayed.since_outage.has_value()) {
     body["since_outage_ms"] = ToMillis(*relayed.since_outage);
@@ -116,6 +117,10 @@
     RelayedRows relayed;
     relayed.rows.version = body.at("version").get<std::uint64_t>();
     relayed.age = ParseElapsedTime(body.at("age_ms"));
+    // VMs of earlier releases do not send it; their rows count from the request.
+    if (body.contains("held_ms")) {
+      relayed.held = ParseElapsedTime(body.at("held_ms"));
+    }
     if (body.contains("since_outage_ms")) {
       relayed.since_outage = ParseElapsedTime(body.at("since_outage_ms"));
     }
--- a/libs/gateway/test/test_copy_age.cc
+++ b/libs/gateway/test/test_copy_age.cc
@@ -87,7 +87,7 @@
   }
   void Respond() {
     const store::TableRows rows{{{"current", "value", 2, false}}, 2};
-    m_exchange->Respond({200, {}, EncodeRows({rows, 0ms, std::nullopt}), false});
+    m_exchange->Respond({200, {}, EncodeRows({rows, 0ms, 0ms, std::nullopt}), false});
     m_exchange.reset();
   }
 
--- a/libs/gateway/test/test_row_copy.cc
+++ b/libs/gateway/test/test_row_copy.cc
@@ -71,12 +71,13 @@
     }
   }
   THEN("encoded rows are decoded to the same rows") {
-    const RelayedRows sent{copy.All(), 250ms, 40ms};
+    const RelayedRows sent{copy.All(), 250ms, 900ms, 40ms};
     const auto received = DecodeRows("peer", EncodeRows(sent));
     REQUIRE(IsOk(received));
     CHECK(ValueOf(received).rows.rows.size() == 2);
     CHECK(ValueOf(received).rows.version == 10);
     CHECK(ValueOf(received).age == Duration(250ms));
+    CHECK(ValueOf(received).held == Duration(900ms));
     CHECK(ValueOf(received).since_outage == Duration(40ms));
   }
   THEN("malformed text is an error") { CHECK_FALSE(IsOk(DecodeRows("peer", "{\"version\":1}"))); }
--- a/libs/gateway/test/test_store_copy.cc
+++ b/libs/gateway/test/test_store_copy.cc
@@ -170,7 +170,7 @@
  private:
   void Handle(http::ServerExchange& exchange) {
     ++m_requests;
-    exchange.Respond({200, {}, EncodeRows({{{}, 1}, 5s, std::nullopt}), false});
+    exchange.Respond({200, {}, EncodeRows({{{}, 1}, 5s, 0s, std::nullopt}), false});
   }
 
   http::ConnectionServer m_server;
--- a/test/fuzz/test_fuzz.cc
+++ b/test/fuzz/test_fuzz.cc
@@ -253,6 +253,7 @@
   relayed.rows.version = 12;
   relayed.rows.rows = {{"w-1", "value of w-1", 7, false}, {"w-2", "", 12, true}};
   relayed.age = std::chrono::milliseconds(250);
+  relayed.held = std::chrono::milliseconds(900);
   relayed.since_outage = std::chrono::seconds(3);
   InputMutator mutator({gateway::EncodeRows(relayed)}, Seed());
   int accepted = 0;
@@ -263,6 +264,7 @@
       ++accepted;
       CAPTURE(i, input);
       REQUIRE(ValueOf(decoded).age >= Duration{});
+      REQUIRE(ValueOf(decoded).held >= Duration{});
       REQUIRE(ValueOf(decoded).since_outage.value_or(Duration{}) >= Duration{});
       REQUIRE(IsOk(gateway::DecodeRows("vm-2", gateway::EncodeRows(ValueOf(decoded)))));
     }
