Announce changes of each table on its own, and compare each table with its own announcements

A VM that follows a cut-off reader is told by other VMs that a newer change exists, and asks the store itself 0.7 s later. The announced revision was one for both tables and was compared with the newest change of both. Workers write their rows some twenty times a second, so a newer row of a worker hid an announced configuration, and the VM waited for its own check (1.2 s after it had last known its copy to be current). For the same reason a configuration was not announced at all if its VM had already read a newer row of a worker.

--- a/libs/gateway/include/quetzalhinge/gateway/store_copy.h
+++ b/libs/gateway/include/quetzalhinge/gateway/store_copy.h
@@ -77,8 +77,8 @@
    */
   void SetVmCount(std::size_t vm_count);
 
-  /** Checks both tables at the store now, for use when they are known to have changed. */
-  void CheckNow();
+  /** Checks one of the two tables at the store now, for use when it is known to have changed. */
+  void CheckNow(const std::string& table);
 
   /** Performs deferred removals of workers that are due. */
   void Tick();
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -8,12 +8,12 @@
 #include "quetzalhinge/gateway/call_service.h"
 #include "quetzalhinge/gateway/limit_watch.h"
 #include "quetzalhinge/gateway/relayed_store.h"
-#include "quetzalhinge/gateway/revision_lag.h"
 #include "quetzalhinge/gateway/store_copy.h"
 #include "quetzalhinge/gateway/vm_registration.h"
 #include "quetzalhinge/gossip/gossip_task.h"
 #include "quetzalhinge/logging/log.h"
 #include "quetzalhinge/net/timer.h"
+#include "revision_watch.h"
 
 namespace qh::gateway {
 namespace {
@@ -25,12 +25,6 @@
 /** Interval of the check for due work: removals, time-outs of peers, steps of the shutdown. */
 constexpr milliseconds kTickInterval{200};
 
-/**
- * How long this VM may lag behind a newer revision that another VM has announced, before it reads
- * the store directly.
- */
-constexpr milliseconds kMaxRevisionLag{700};
-
 /** How long a new process waits for gossip of other VMs before it reads the store itself. */
 constexpr milliseconds kFirstReadDelay{700};
 
@@ -101,7 +95,7 @@
 
 }  // namespace
 
-struct GatewayProcess::Impl : gossip::GossipObserver, StoreCopyObserver {
+struct GatewayProcess::Impl : gossip::GossipObserver, StoreCopyObserver, RevisionWatchObserver {
   net::EventLoop& loop;
   GatewaySettings settings;
   GatewayEnvironment environment;
@@ -126,13 +120,10 @@
   net::Timer tick;
   VmRegistration registration;
   net::Timer first_read_timer;
-  net::Timer revision_lag_timer;
-  bool is_watching_lag = false;
+  RevisionWatch revision_watch;
   bool is_reading = false;
   bool first_read_delayed = false;
   bool worker_has_left = false;
-  /** Changes that other VMs have announced. */
-  RevisionLag revision_lag{kMaxRevisionLag};
   std::optional<TimePoint> stopping_since;
   bool is_accepting = true;
   settings::ExitCode exit = settings::ExitCode::kSuccess;
@@ -167,7 +158,9 @@
             loop, environment.store, settings.name, settings.internal,
             [this](const std::vector<IpEndpoint>& peers) { gossip.SetListedPeers(peers); }),
         first_read_timer(loop, [this] { StartReadingOrDelay(); }),
-        revision_lag_timer(loop, [this] { CheckRevisionLag(); }) {
+        revision_watch(loop,
+                       {environment.layout.configuration_table, environment.layout.workers_table},
+                       *this) {
     // After a restart under load, callers cannot wait until peers are known.
     call_service.OnMissingConfiguration([this] { StartReading(); });
     relayed_store.OnStoreRecovered([this](Duration ago) { store_copy.OnStoreRecovered(ago); });
@@ -208,7 +201,7 @@
    * at once; the others wait once more, until the readers have rows.
    */
   void StartReadingOrDelay() {
-    const bool has_source = relayed_store.WouldReadStore() || revision_lag.Newest() > 0;
+    const bool has_source = relayed_store.WouldReadStore() || revision_watch.NewestVmRevision() > 0;
     if (!has_source && !std::exchange(first_read_delayed, true)) {
       first_read_timer.StartOnce(kFirstReadDelay);
     } else {
@@ -224,42 +217,20 @@
     }
   }
 
-  std::uint64_t NewestChangeOf(const std::string& table) const {
-    return relayed_store.NewestChange(table);
-  }
-
   std::uint64_t NewestKnownChange() const {
-    return std::max(NewestChangeOf(environment.layout.configuration_table),
-                    NewestChangeOf(environment.layout.workers_table));
+    return std::max(KnownRevision(environment.layout.configuration_table),
+                    KnownRevision(environment.layout.workers_table));
   }
 
-  /** Starts the timer for the check of the lag if it is not running yet. */
-  void WatchRevisionLag() {
-    revision_lag.OnKnown(NewestKnownChange());
-    const auto due = revision_lag.ReadDue();
-    if (due.has_value() && !std::exchange(is_watching_lag, true)) {
-      const Duration left = std::max(Duration{}, *due - loop.Now());
-      revision_lag_timer.StartOnce(std::chrono::ceil<milliseconds>(left));
-    }
+  // RevisionWatchObserver
+
+  std::uint64_t KnownRevision(const std::string& table) const override {
+    return relayed_store.NewestChange(table);
   }
 
-  void CheckRevisionLag() {
-    is_watching_lag = false;
-    revision_lag.OnKnown(NewestKnownChange());
-    const auto due = revision_lag.ReadDue();
-    if (due.has_value() && loop.Now() < *due) {
-      WatchRevisionLag();
-    } else if (due.has_value() && is_reading) {
-      const Duration behind = loop.Now() - *revision_lag.BehindSince();
-      logging::LogDecision(
-          "store", "behind revision announced by peer",
-          {{"known", std::to_string(NewestKnownChange())},
-           {"known_configuration",
-            std::to_string(NewestChangeOf(environment.layout.configuration_table))},
-           {"known_workers", std::to_string(NewestChangeOf(environment.layout.workers_table))},
-           {"heard", std::to_string(revision_lag.Newest())},
-           {"behind_ms", std::to_string(ToMillis(behind))}});
-      store_copy.CheckNow();
+  void OnTableBehind(const std::string& table) override {
+    if (is_reading) {
+      store_copy.CheckNow(table);
     }
   }
 
@@ -347,12 +318,11 @@
    * regular gossip rounds.
    */
   void OnTableUpdated(const std::string& table) override {
+    gossip.SetOwnRevision(NewestKnownChange());
     const bool is_urgent =
         table == environment.layout.configuration_table || std::exchange(worker_has_left, false);
     if (is_urgent && relayed_store.WasReadFromStore(table)) {
-      gossip.AnnounceOwnRevision(NewestKnownChange());
-    } else {
-      gossip.SetOwnRevision(NewestKnownChange());
+      gossip.AnnounceTableRevision(table, KnownRevision(table));
     }
   }
 
@@ -375,24 +345,17 @@
       // because the peer is not yet in the list of peers.
       first_read_timer.StartOnce(milliseconds(0));
     }
-    OnRevisionAnnounced(peer.revision);
+    revision_watch.OnVmRevision(peer.revision);
   }
 
   void OnFreshNotice(const membership::Notice& notice) override {
     if (notice.kind == membership::NoticeKind::kContractRevision) {
-      OnRevisionAnnounced(notice.value);
+      revision_watch.OnTableRevision(notice.subject, notice.value);
     } else {
       crash_watch.OnNotice(notice);
     }
   }
 
-  void OnRevisionAnnounced(std::uint64_t change) {
-    if (change > revision_lag.Newest()) {
-      revision_lag.OnAnnounced(change, loop.Now());
-      WatchRevisionLag();
-    }
-  }
-
   void OnMembersChanged() override {
     std::vector<RelayPeer> peers;
     std::vector<std::string> vms;
--- a/libs/gateway/src/store_copy.cc
+++ b/libs/gateway/src/store_copy.cc
@@ -174,9 +174,12 @@
   m_impl->workers.SetMinCheckRetry(interval);
 }
 
-void StoreCopy::CheckNow() {
-  m_impl->configuration.CheckNow();
-  m_impl->workers.CheckNow();
+void StoreCopy::CheckNow(const std::string& table) {
+  if (table == m_impl->layout.configuration_table) {
+    m_impl->configuration.CheckNow();
+  } else {
+    m_impl->workers.CheckNow();
+  }
 }
 
 void StoreCopy::Tick() { m_impl->ReportEvents(m_impl->registry.Expire(m_impl->loop.Now())); }
--- a/libs/gossip/include/quetzalhinge/gossip/gossip_task.h
+++ b/libs/gossip/include/quetzalhinge/gossip/gossip_task.h
@@ -83,6 +83,12 @@
   /** Like SetOwnRevision(), but also sends a higher revision to some peers immediately. */
   void AnnounceOwnRevision(std::uint64_t revision);
 
+  /**
+   * Sends a higher revision of `table` to some peers immediately. Each table has revisions of its
+   * own, independent of SetOwnRevision().
+   */
+  void AnnounceTableRevision(const std::string& table, std::uint64_t revision);
+
   /** Posts a notice from this VM. If it is new, forwards it immediately and returns true. */
   bool Post(const membership::Notice& notice);
 
--- a/libs/gossip/src/gossip_task.cc
+++ b/libs/gossip/src/gossip_task.cc
@@ -24,6 +24,16 @@
  */
 constexpr std::chrono::milliseconds kRevisionNoticeLifetime{10000};
 
+Notice RevisionNotice(const std::string& subject, std::uint64_t revision) {
+  Notice notice;
+  notice.kind = membership::NoticeKind::kContractRevision;
+  notice.subject = subject;
+  notice.value = revision;
+  notice.stamp_us = UnixNow();
+  notice.lifetime = kRevisionNoticeLifetime;
+  return notice;
+}
+
 /** Number of gossip intervals without any activity after which the process counts as paused. */
 constexpr int kPauseThresholdRounds = 4;
 
@@ -227,12 +237,11 @@
     return;
   }
   m_impl->table.SetOwnRevision(revision);
-  Notice notice;
-  notice.kind = membership::NoticeKind::kContractRevision;
-  notice.value = revision;
-  notice.stamp_us = UnixNow();
-  notice.lifetime = kRevisionNoticeLifetime;
-  Post(notice);
+  Post(RevisionNotice("", revision));
+}
+
+void GossipTask::AnnounceTableRevision(const std::string& table, std::uint64_t revision) {
+  Post(RevisionNotice(table, revision));
 }
 
 bool GossipTask::Post(const Notice& notice) {
--- a/libs/membership/include/quetzalhinge/membership/notice.h
+++ b/libs/membership/include/quetzalhinge/membership/notice.h
@@ -11,7 +11,7 @@
 
 /** The subject matter of a notice. */
 enum class NoticeKind : std::uint8_t {
-  /** `value` is the newest contract revision. */
+  /** `value` is the newest revision of the contracts, or of the table that `subject` names. */
   kContractRevision,
   /** `subject` is a worker that accepts no new work. */
   kWorkerLeaving,
--- a/libs/membership/include/quetzalhinge/membership/notice_board.h
+++ b/libs/membership/include/quetzalhinge/membership/notice_board.h
@@ -43,9 +43,9 @@
  * The unexpired notices, one per subject.
  *
  * Of two notices about the same subject, the one with the later stamp wins. kWorkerLeaving and
- * kWorkerBack for one worker share a subject; at equal stamps kWorkerLeaving wins. The contract
- * revision is a single subject, for which the higher revision wins. Suspicions of one fingerprint
- * at different workers are different subjects.
+ * kWorkerBack for one worker share a subject; at equal stamps kWorkerLeaving wins. The
+ * revision of the contracts, or of one table, is a subject for which the higher revision wins.
+ * Suspicions of one fingerprint at different workers are different subjects.
  *
  * A full board keeps the notices with the highest priority (contract revision, worker leaving,
  * quarantine, worker back, suspect or cleared; then the later expiry). So a flood of suspicions
--- a/libs/membership/src/notice_board.cc
+++ b/libs/membership/src/notice_board.cc
@@ -104,7 +104,7 @@
 NoticeBoard::Subject NoticeBoard::SubjectOf(const Notice& notice) {
   switch (notice.kind) {
     case NoticeKind::kContractRevision:
-      return {0, "", ""};
+      return {0, notice.subject, ""};
     case NoticeKind::kWorkerLeaving:
     case NoticeKind::kWorkerBack:
       return {1, notice.subject, ""};
