--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -387,12 +387,12 @@
     // The store's version grows with writes to any table; a peer without changes of this table may
     // be slightly behind.
     value.rows.version = std::max(value.rows.version, after.value_or(0));
-    if (value.since_outage.has_value()) {
-      OnOutageEnded(loop.Now() - *value.since_outage);
-    }
     // The response may have been under way for some time. The peer received the request at
     // `started_at` at the earliest.
     const TimePoint sent_at = std::min(loop.Now(), started_at + value.held);
+    if (value.since_outage.has_value()) {
+      OnOutageEnded(sent_at - *value.since_outage);
+    }
     UpdateTable(table, sequence, value.rows, !after.has_value(), sent_at - value.age, false);
     Complete(table, sequence, value.rows);
   }
--- a/libs/gateway/test/test_copy_age.cc
+++ b/libs/gateway/test/test_copy_age.cc
@@ -22,6 +22,9 @@
 /** Time for which a response is under way. */
 constexpr std::chrono::milliseconds kDelay{400};
 
+/** How long ago the peer saw the end of an outage of the store when it sent its rows. */
+constexpr std::chrono::milliseconds kSinceOutage{100};
+
 /** A store with a steady clock whose responses to waits for changes arrive late. */
 class DistantStore : public store::TableStore {
  public:
@@ -87,7 +90,7 @@
   }
   void Respond() {
     const store::TableRows rows{{{"current", "value", 2, false}}, 2};
-    m_exchange->Respond({200, {}, EncodeRows({rows, 0ms, 0ms, std::nullopt}), false});
+    m_exchange->Respond({200, {}, EncodeRows({rows, 0ms, 0ms, kSinceOutage}), false});
     m_exchange.reset();
   }
 
@@ -154,6 +157,8 @@
   DistantPeer peer(loop);
   RelayedStore relayed_store(loop, metrics, store, NameRankedAfter("peer"), kApplyWithin);
   relayed_store.SetPeers({{"peer", peer.Endpoint()}});
+  std::optional<TimePoint> recovered_at;
+  relayed_store.OnStoreRecovered([&](Duration ago) { recovered_at = loop.Now() - ago; });
 
   GIVEN("a wait at the peer whose response is under way for a while") {
     bool has_ended = false;
@@ -163,6 +168,11 @@
       CHECK(*relayed_store.ConfirmedAt(kTable) <= peer.made_at);
       CHECK(*relayed_store.ConfirmedAt(kTable) > peer.made_at - kDelay / 2);
     }
+    // Guards against requests to a worker whose removal is deferred for too long after an outage.
+    THEN("the outage ended as long before that time as the peer says") {
+      REQUIRE(recovered_at.has_value());
+      CHECK(*recovered_at <= peer.made_at - kSinceOutage);
+    }
   }
 }
 
