Pause between the checks of a table that stays behind announced changes

Cause: started the timer for the table that fell behind last with the time at which another one had been due, so that it ran again at once until the first one had caught up.

A table that stays behind is now reported every 0.7 s.

--- a/libs/gateway/src/revision_watch.cc
+++ b/libs/gateway/src/revision_watch.cc
@@ -15,7 +15,7 @@
 
 /**
  * How long this VM may lag behind a newer revision that another VM has announced, before it reads
- * the store directly.
+ * the store directly, and from one such read to the next.
  */
 constexpr milliseconds kMaxRevisionLag{700};
 
@@ -49,6 +49,12 @@
   }
 }
 
+std::optional<TimePoint> RevisionWatch::DueAt(const WatchedTable& table) {
+  const auto due = table.lag.ReadDue();
+  return due.has_value() ? std::optional(std::max(*due, table.reported_at + kMaxRevisionLag))
+                         : std::nullopt;
+}
+
 std::vector<RevisionWatch::WatchedTable*> RevisionWatch::Watched() {
   std::vector<WatchedTable*> watched{&m_any_table};
   for (WatchedTable& table : m_tables) {
@@ -71,7 +77,7 @@
   UpdateKnownRevisions();
   std::optional<TimePoint> earliest;
   for (const WatchedTable* table : Watched()) {
-    const auto due = table->lag.ReadDue();
+    const auto due = DueAt(*table);
     if (due.has_value()) {
       earliest = std::min(earliest.value_or(*due), *due);
     }
@@ -85,17 +91,13 @@
 void RevisionWatch::Check() {
   m_is_timer_running = false;
   UpdateKnownRevisions();
-  bool is_check_pending = false;
   std::set<std::string> tables_behind;
-  for (const WatchedTable* table : Watched()) {
-    const auto due = table->lag.ReadDue();
-    if (!due.has_value()) {
-      continue;
-    }
-    if (m_loop.Now() < *due) {
-      is_check_pending = true;
+  for (WatchedTable* table : Watched()) {
+    const auto due = DueAt(*table);
+    if (!due.has_value() || m_loop.Now() < *due) {
       continue;
     }
+    table->reported_at = m_loop.Now();
     LogLag(*table);
     for (const WatchedTable& watched : m_tables) {
       if (table == &m_any_table || table == &watched) {
@@ -103,9 +105,7 @@
       }
     }
   }
-  if (is_check_pending) {
-    Watch();
-  }
+  Watch();
   for (const std::string& table : tables_behind) {
     m_observer.OnTableBehind(table);
   }
--- a/libs/gateway/src/revision_watch.h
+++ b/libs/gateway/src/revision_watch.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,7 +19,10 @@
   /** Returns the revision of the newest change of `table` that this VM knows. */
   virtual std::uint64_t KnownRevision(const std::string& table) const = 0;
 
-  /** `table` has been behind an announced revision for too long and must be read. */
+  /**
+   * `table` has been behind an announced revision for too long and must be read. Called again after
+   * a while if it stays behind.
+   */
   virtual void OnTableBehind(const std::string& table) = 0;
 };
 
@@ -47,8 +50,12 @@
     /** Empty for the newest change of any table. */
     std::string name;
     RevisionLag lag;
+    /** When the table was last reported as behind. */
+    TimePoint reported_at{};
   };
 
+  /** Returns when `table` must be read if it stays behind; std::nullopt if it is not behind. */
+  static std::optional<TimePoint> DueAt(const WatchedTable& table);
   void OnRevision(WatchedTable& table, std::uint64_t revision);
   /** Updates what is known and starts the timer for the next check unless it is running. */
   void Watch();
