--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -71,6 +71,7 @@
   PeerRowsClient peer_rows;
   std::map<std::string, TableRead> table_reads;
   StoreClock store_clock;
+  std::uint64_t store_era = 0;
   TimePoint store_failed_at{};
   /** Table whose read failed first in an outage; other tables wait until a read of it succeeds. */
   std::string outage_probe_table;
@@ -237,6 +238,16 @@
     }
   }
 
+  void RecordEra(const store::TableRows& rows) {
+    if (rows.era != store_era) {
+      logging::LogChange("store", "era",
+                         {{"era", std::to_string(rows.era)},
+                          {"before", std::to_string(store_era)},
+                          {"version", std::to_string(rows.version)}});
+      store_era = rows.era;
+    }
+  }
+
   /** Records when the store made a response, and logs a late one. */
   void RecordStoreTime(const std::string& table, TimePoint started_at,
                        const store::TableRows& rows) {
@@ -258,6 +269,7 @@
   void RecordStoreResult(const std::string& table, TimePoint started_at,
                          const Result<store::TableRows>& result) {
     if (IsOk(result)) {
+      RecordEra(ValueOf(result));
       RecordStoreTime(table, started_at, ValueOf(result));
     }
     if (IsOk(result) || ErrorOf(result).code == ErrorCode::kConflict) {
--- a/libs/store/include/quetzalhinge/store/table_store.h
+++ b/libs/store/include/quetzalhinge/store/table_store.h
@@ -31,6 +31,12 @@
    * the rows come from elsewhere.
    */
   std::optional<std::chrono::milliseconds> store_time = std::nullopt;
+  /**
+   * Number of the store's history. It grows each time the store continues from an older copy: what
+   * it acknowledged since that copy is lost, and its versions go back and are used again. 0 if the
+   * store does not state it.
+   */
+  std::uint64_t era = 0;
 };
 
 /**
