Order versions of the store over all of its histories

Callers saw 404 and old routes for seconds after the store had come back from an older copy: VMs ignored rows with lower numbers than they knew, and took "no changes after 52" for a confirmation although 52 now stood for another state. Every comparison was affected: rows, cursors, copies of peers, announced revisions. The class: a number that is only meaningful within one history is compared across histories.

The era of each response is now the upper part of each version (MakeVersion), so that all comparisons order by history first, also in messages between VMs and in gossip. Rows of a peer that is still in the history before do not count as a confirmation. The version of the configuration is the operator's and is compared as before, so that no VM goes back to the older configuration of the copy.

--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -11,6 +11,7 @@
 #include "quetzalhinge/gateway/store_clock.h"
 #include "quetzalhinge/logging/log.h"
 #include "quetzalhinge/net/timer.h"
+#include "quetzalhinge/store/store_version.h"
 #include "read_pace.h"
 #include "relay_state.h"
 
@@ -71,7 +72,8 @@
   PeerRowsClient peer_rows;
   std::map<std::string, TableRead> table_reads;
   StoreClock store_clock;
-  std::uint64_t store_era = 0;
+  /** Newest known history of the store; empty before the first read. */
+  std::optional<std::uint64_t> store_era;
   TimePoint store_failed_at{};
   /** Table whose read failed first in an outage; other tables wait until a read of it succeeds. */
   std::string outage_probe_table;
@@ -238,13 +240,16 @@
     }
   }
 
-  void RecordEra(const store::TableRows& rows) {
-    if (rows.era != store_era) {
-      logging::LogChange("store", "era",
-                         {{"era", std::to_string(rows.era)},
-                          {"before", std::to_string(store_era)},
-                          {"version", std::to_string(rows.version)}});
-      store_era = rows.era;
+  /** Detects that the store continues from an older copy. */
+  void DetectNewEra(const store::TableRows& rows) {
+    const std::uint64_t era = store::EraOf(rows.version);
+    if (!store_era.has_value()) {
+      store_era = era;
+    } else if (era > *store_era) {
+      logging::LogChange("store", "continues from older copy",
+                         {{"version", store::FormatVersion(rows.version)},
+                          {"era_before", std::to_string(*store_era)}});
+      store_era = era;
     }
   }
 
@@ -259,7 +264,7 @@
     if (delay > apply_within * kLateResponseFraction) {
       logging::LogDecision("store", "late response",
                            {{"table", table},
-                            {"version", std::to_string(rows.version)},
+                            {"version", store::FormatVersion(rows.version)},
                             {"rows", std::to_string(rows.rows.size())},
                             {"delay_ms", std::to_string(ToMillis(delay))}});
     }
@@ -269,7 +274,6 @@
   void RecordStoreResult(const std::string& table, TimePoint started_at,
                          const Result<store::TableRows>& result) {
     if (IsOk(result)) {
-      RecordEra(ValueOf(result));
       RecordStoreTime(table, started_at, ValueOf(result));
     }
     if (IsOk(result) || ErrorOf(result).code == ErrorCode::kConflict) {
@@ -383,9 +387,8 @@
                        ? DecodeRows(peer.vm, response->body)
                        : Result<RelayedRows>(Error{ErrorCode::kUnavailable, "read rows", peer.vm,
                                                    "rows of peer not fresh"});
-    // A table older than the known rows would revert them.
-    const bool is_older = IsOk(relayed) && !after.has_value() &&
-                          ValueOf(relayed).rows.version < state.tables[table].rows.Version();
+    const bool is_older =
+        IsOk(relayed) && IsOlder(table, after.has_value(), ValueOf(relayed).rows.version);
     if (!IsOk(relayed) || is_older) {
       LogFailedRead(table, peer.vm, started_at,
                     IsOk(relayed) ? "older rows" : ErrorOf(relayed).detail);
@@ -409,6 +412,15 @@
     Complete(table, sequence, value.rows);
   }
 
+  /**
+   * Returns whether rows of a peer would revert `table`, or say nothing about it. A peer that has
+   * no changes may be slightly behind in the same history of the store.
+   */
+  bool IsOlder(const std::string& table, bool is_change, std::uint64_t version) {
+    const std::uint64_t known = state.tables[table].rows.Version();
+    return is_change ? store::EraOf(version) < store::EraOf(known) : version < known;
+  }
+
   /** Reads from `reader`, from which `peer` reads; if that is this VM, reads the store. */
   void ReadFromNamedReader(const RelayPeer& peer, const std::optional<RelayPeer>& reader,
                            const std::string& table, std::optional<std::uint64_t> after,
@@ -439,11 +451,12 @@
     if (rows.version < table_state.rows.Version()) {
       logging::LogDecision("store", "older rows ignored",
                            {{"table", table},
-                            {"version", std::to_string(rows.version)},
-                            {"known", std::to_string(table_state.rows.Version())},
+                            {"version", store::FormatVersion(rows.version)},
+                            {"known", store::FormatVersion(table_state.rows.Version())},
                             {"from_store", from_store ? "yes" : "no"}});
       return;
     }
+    DetectNewEra(rows);
     if (!table_state.fresh_at.has_value() || fresh_at > *table_state.fresh_at) {
       table_state.fresh_at = fresh_at;
     }
--- a/libs/gateway/src/revision_watch.cc
+++ b/libs/gateway/src/revision_watch.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "quetzalhinge/logging/log.h"
+#include "quetzalhinge/store/store_version.h"
 
 namespace qh::gateway {
 namespace {
@@ -115,7 +116,7 @@
   const Duration behind = m_loop.Now() - *table.lag.BehindSince();
   logging::LogDecision("store", "behind revision announced by peer",
                        {{"table", table.name.empty() ? "any" : table.name},
-                        {"heard", std::to_string(table.lag.Newest())},
+                        {"heard", store::FormatVersion(table.lag.Newest())},
                         {"behind_ms", std::to_string(ToMillis(behind))}});
 }
 
--- a/libs/gateway/src/store_copy.cc
+++ b/libs/gateway/src/store_copy.cc
@@ -5,6 +5,7 @@
 
 #include "quetzalhinge/gateway/table_follower.h"
 #include "quetzalhinge/logging/log.h"
+#include "quetzalhinge/store/store_version.h"
 
 namespace qh::gateway {
 namespace {
@@ -94,7 +95,7 @@
         logging::LogChange("configuration", "applied",
                            {{"version", std::to_string(version)},
                             {"before", std::to_string(before)},
-                            {"store_version", std::to_string(row.version)},
+                            {"store_version", store::FormatVersion(row.version)},
                             {"routes", std::to_string(routes.Configuration().routes.size())}});
         observer.OnConfigurationApplied();
       } else if (version < before) {
--- a/libs/store/include/quetzalhinge/store/table_store.h
+++ b/libs/store/include/quetzalhinge/store/table_store.h
@@ -16,7 +16,7 @@
   std::string key;
   /** Empty if the row is removed. */
   std::string value;
-  /** Store version at the row's last change. */
+  /** Store version at the row's last change, see MakeVersion(). */
   std::uint64_t version = 0;
   bool removed = false;
 };
@@ -31,12 +31,6 @@
    * the rows come from elsewhere.
    */
   std::optional<std::chrono::milliseconds> store_time = std::nullopt;
-  /**
-   * Number of the store's history. It grows each time the store continues from an older copy: what
-   * it acknowledged since that copy is lost, and its versions go back and are used again. 0 if the
-   * store does not state it.
-   */
-  std::uint64_t era = 0;
 };
 
 /**
@@ -58,7 +52,7 @@
   /**
    * Returns the rows of `table` that changed after store version `after`, as soon as there are any,
    * or no rows once `wait` has passed. Error kConflict: the store no longer holds all changes since
-   * `after`; read the entire table instead.
+   * `after`, or `after` belongs to an earlier history; read the entire table instead.
    */
   virtual void AwaitChanges(const std::string& table, std::uint64_t after,
                             std::chrono::milliseconds wait, Callback<TableRows> callback) = 0;
