Defer removals of workers when the store continues from an older copy

Workers whose entries the store had lost were removed at once if the loss was so short that no read of the VM failed, although they serve and write their entries again within about two seconds. A new era now counts like the end of an outage.

--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -240,7 +240,10 @@
     }
   }
 
-  /** Detects that the store continues from an older copy. */
+  /**
+   * Detects that the store continues from an older copy. As after an outage, entries may be missing
+   * that are written again soon.
+   */
   void DetectNewEra(const store::TableRows& rows) {
     const std::uint64_t era = store::EraOf(rows.version);
     if (!store_era.has_value()) {
@@ -250,6 +253,7 @@
                          {{"version", store::FormatVersion(rows.version)},
                           {"era_before", std::to_string(*store_era)}});
       store_era = era;
+      OnOutageEnded(loop.Now());
     }
   }
 
