Register the VM again when the store may have lost its address

A VM that registered in the seconds that the store lost was missing in the table of VMs, so that a VM that started later could not find it. The registration now knows in which of the store's histories its row is, and writes it again when a newer one is seen; also if the row is missing when the other VMs are read.

--- a/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
@@ -48,6 +48,12 @@
    */
   void OnStoreRecovered(std::function<void(Duration ago)> callback);
 
+  /**
+   * Sets the callback for the store's history, see store::MakeVersion(): called after the first
+   * read, and when the store has lost its last changes and continues from an older copy.
+   */
+  void OnEra(std::function<void(std::uint64_t era)> callback);
+
   /** Sets the other live VMs of the zone. */
   void SetPeers(const std::vector<RelayPeer>& peers);
 
--- a/libs/gateway/include/quetzalhinge/gateway/vm_registration.h
+++ b/libs/gateway/include/quetzalhinge/gateway/vm_registration.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,7 +16,7 @@
 inline constexpr const char* kVmTable = "vms";
 
 /**
- * Registers the gossip address of this VM in the store and reads the addresses of the other VMs,
+ * Registers the gossip address of this VM in the store, and reads the addresses of the other VMs
  * once after the start of the process. Failures are logged and retried until both steps succeed.
  */
 class VmRegistration {
@@ -32,7 +34,14 @@
   /** Starts the registration; `on_peers` runs after it has succeeded. */
   void Start();
 
+  /**
+   * Tells which of the store's histories has been seen, see store::MakeVersion(). If it began after
+   * the registration, the store may have lost the address of this VM, which is then written again.
+   */
+  void OnStoreEra(std::uint64_t era);
+
  private:
+  void WriteAddress();
   void ReadPeers();
   void ScheduleRetry(const Error& error);
 
@@ -40,6 +49,9 @@
   std::string m_vm;
   IpEndpoint m_gossip;
   OnPeers m_on_peers;
+  /** The store's history that has the address; empty until the other VMs have been read. */
+  std::optional<std::uint64_t> m_registered_era;
+  std::uint64_t m_newest_era = 0;
   net::Timer m_retry_timer;
 };
 
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -163,6 +163,7 @@
                        *this) {
     // After a restart under load, callers cannot wait until peers are known.
     call_service.OnMissingConfiguration([this] { StartReading(); });
+    relayed_store.OnEra([this](std::uint64_t era) { registration.OnStoreEra(era); });
     relayed_store.OnStoreRecovered([this](Duration ago) { store_copy.OnStoreRecovered(ago); });
   }
 
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -78,6 +78,7 @@
   /** Table whose read failed first in an outage; other tables wait until a read of it succeeds. */
   std::string outage_probe_table;
   std::function<void(Duration)> on_store_recovered;
+  std::function<void(std::uint64_t)> on_era;
 
   Impl(net::EventLoop& event_loop, metrics::MetricsRegistry& registry, store::TableStore& store,
        const std::string& vm, milliseconds max_delay)
@@ -246,15 +247,19 @@
    */
   void DetectNewEra(const store::TableRows& rows) {
     const std::uint64_t era = store::EraOf(rows.version);
-    if (!store_era.has_value()) {
-      store_era = era;
-    } else if (era > *store_era) {
+    if (store_era.has_value() && era <= *store_era) {
+      return;
+    }
+    const std::optional<std::uint64_t> before = std::exchange(store_era, era);
+    if (before.has_value()) {
       logging::LogChange("store", "continues from older copy",
                          {{"version", store::FormatVersion(rows.version)},
-                          {"era_before", std::to_string(*store_era)}});
-      store_era = era;
+                          {"era_before", std::to_string(*before)}});
       OnOutageEnded(loop.Now());
     }
+    if (on_era != nullptr) {
+      on_era(era);
+    }
   }
 
   /** Records when the store made a response, and logs a late one. */
@@ -499,6 +504,10 @@
   m_impl->on_store_recovered = std::move(callback);
 }
 
+void RelayedStore::OnEra(std::function<void(std::uint64_t era)> callback) {
+  m_impl->on_era = std::move(callback);
+}
+
 void RelayedStore::SetPeers(const std::vector<RelayPeer>& peers) {
   m_impl->selector.SetPeers(peers);
 }
--- a/libs/gateway/test/test_vm_registration.cc
+++ b/libs/gateway/test/test_vm_registration.cc
@@ -72,6 +72,10 @@
 
   void Run() {
     registration.Start();
+    AwaitPeers();
+  }
+
+  void AwaitPeers() {
     const TimePoint limit = loop.Now() + 10s;
     while (!peers.has_value() && loop.Now() < limit) {
       loop.RunOnce(10ms);
@@ -102,6 +106,47 @@
     CHECK(fixture.TimerClock() - begin >= 1400ms);
     CHECK(fixture.peers == std::vector<IpEndpoint>{{"127.0.1.2", 7000}});
   }
+  // Guards against a VM that others cannot find because the store has lost its row.
+  SECTION("and writes its address again if the store has lost it") {
+    const auto run_until_writes = [&](int writes) {
+      const TimePoint limit = fixture.loop.Now() + 10s;
+      while (fixture.store.writes < writes && fixture.loop.Now() < limit) {
+        fixture.loop.RunOnce(10ms);
+      }
+      fixture.loop.RunOnce(10ms);
+      CHECK(fixture.store.writes == writes);
+    };
+    SECTION("after the registration") {
+      fixture.Run();
+      fixture.registration.OnStoreEra(0);
+      CHECK(fixture.store.writes == 1);
+      fixture.store.failing_writes = 1;
+      fixture.registration.OnStoreEra(1);
+      run_until_writes(3);
+      fixture.registration.OnStoreEra(1);
+      run_until_writes(3);
+      fixture.registration.OnStoreEra(3);
+      run_until_writes(4);
+      CHECK(fixture.store.reads == 1);
+    }
+    SECTION("before it is known to this VM") {
+      fixture.registration.OnStoreEra(1);
+      fixture.Run();
+      run_until_writes(2);
+    }
+    SECTION("between the write and the read of the others") {
+      const store::StoredRow own_row = fixture.store.rows.rows.front();
+      fixture.store.rows.rows.erase(fixture.store.rows.rows.begin());
+      fixture.registration.Start();
+      while (fixture.store.reads < 1) {
+        fixture.loop.RunOnce(10ms);
+      }
+      fixture.loop.RunOnce(10ms);
+      fixture.store.rows.rows.push_back(own_row);
+      fixture.AwaitPeers();
+      CHECK(fixture.store.writes == 2);
+    }
+  }
   SECTION("and skips rows that are malformed or removed") {
     fixture.store.rows.rows.push_back({"vm-3", "not an address", 5, false});
     fixture.store.rows.rows.push_back({"vm-4", "", 6, true});
