Respond to each request that is still open at the end of a planned stop

Another operator reported requests that were taken late in the grace of a planned stop, passed on, and cut at its end without an answer, orders among them (LOST).

After 0.92 of the grace each open request gets a true response: a refusal with Retry-After if it was never sent to a worker, else 502, which promises nothing.

--- a/libs/gateway/include/quetzalhinge/gateway/call_service.h
+++ b/libs/gateway/include/quetzalhinge/gateway/call_service.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "quetzalhinge/base/random_id.h"
 #include "quetzalhinge/dispatch/worker_picker.h"
@@ -18,6 +20,8 @@
 
 namespace qh::gateway {
 
+class CallTask;
+
 /** Objects shared by all calls of the process. Must outlive the calls. */
 struct CallContext {
   /** Availability zone of this VM. */
@@ -52,8 +56,17 @@
   /** Refuses all further requests; requests in progress continue. */
   void RefuseNewCalls();
 
+  /** Responds to all requests in progress, because the process stops. */
+  void RespondBeforeStop();
+
  private:
   CallContext& m_context;
+  void Track(const std::shared_ptr<CallTask>& call);
+
+  /** Calls in progress, and some that have ended since. */
+  std::vector<std::weak_ptr<CallTask>> m_calls;
+  /** Number of calls from which those that have ended are dropped. */
+  std::size_t m_max_calls;
   std::function<void()> m_on_missing_configuration;
   bool m_refuse_new_calls = false;
 };
--- a/libs/gateway/src/call_service.cc
+++ b/libs/gateway/src/call_service.cc
@@ -14,6 +14,8 @@
 /** Value of retry-after in refusals for the reason that this VM cannot serve the request. */
 constexpr const char* kRetryAfterSeconds = "0.25";
 
+constexpr std::size_t kMinTrackedCalls = 64;
+
 http::HttpResponse Refusal(int status, const CallHeaders& headers, const std::string& request_id) {
   http::HttpResponse response;
   response.status = status;
@@ -33,7 +35,8 @@
 
 }  // namespace
 
-CallService::CallService(CallContext& context) : m_context(context) {}
+CallService::CallService(CallContext& context)
+    : m_context(context), m_max_calls(kMinTrackedCalls) {}
 CallService::~CallService() = default;
 
 void CallService::OnMissingConfiguration(std::function<void()> callback) {
@@ -42,6 +45,22 @@
 
 void CallService::RefuseNewCalls() { m_refuse_new_calls = true; }
 
+void CallService::RespondBeforeStop() {
+  for (const std::weak_ptr<CallTask>& tracked : std::exchange(m_calls, {})) {
+    if (const auto call = tracked.lock()) {
+      call->RespondBeforeStop();
+    }
+  }
+}
+
+void CallService::Track(const std::shared_ptr<CallTask>& call) {
+  if (m_calls.size() >= m_max_calls) {
+    std::erase_if(m_calls, [](const auto& tracked) { return tracked.expired(); });
+    m_max_calls = std::max(kMinTrackedCalls, 2 * m_calls.size());
+  }
+  m_calls.push_back(call);
+}
+
 void CallService::Handle(std::shared_ptr<http::ServerExchange> exchange) {
   const http::HttpRequest& request = exchange->Request();
   const CallHeaders& names = m_context.headers;
@@ -88,7 +107,10 @@
   if (m_context.crash_watch.QuarantineLeft(parameters.fingerprint).has_value()) {
     return refuse(503, "request quarantined because it crashed workers");
   }
-  std::make_shared<CallTask>(m_context, std::move(exchange), std::move(parameters))->Start();
+  const auto call =
+      std::make_shared<CallTask>(m_context, std::move(exchange), std::move(parameters));
+  Track(call);
+  call->Start();
 }
 
 }  // namespace qh::gateway
--- a/libs/gateway/src/call_task.cc
+++ b/libs/gateway/src/call_task.cc
@@ -358,6 +358,14 @@
   RespondWithFailure("deadline");
 }
 
+void CallTask::RespondBeforeStop() {
+  if (m_finished) {
+    return;
+  }
+  m_may_have_run = m_may_have_run || HasAttemptInProgress();
+  RespondWithFailure("process stops");
+}
+
 void CallTask::OnCallerDisconnected() {
   if (m_finished) {
     return;
--- a/libs/gateway/src/call_task.h
+++ b/libs/gateway/src/call_task.h
@@ -40,6 +40,12 @@
   /** Starts the task, which must be owned by a shared_ptr. */
   void Start();
 
+  /**
+   * Responds now because the process stops: with a refusal if the request was never sent to a
+   * worker. No effect once the task has responded.
+   */
+  void RespondBeforeStop();
+
  private:
   /** One attempt at one worker. */
   struct Attempt {
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -34,7 +34,13 @@
  */
 constexpr double kAcceptGraceFraction = 0.4;
 
-/** Fraction of the stop grace after which the process ends even if requests are in progress. */
+/**
+ * Fraction of the stop grace after which requests still in progress get a response, so that there
+ * is time to send it before the process ends.
+ */
+constexpr double kLastResponsesGraceFraction = 0.92;
+
+/** Fraction of the stop grace after which the process ends even if responses are not sent yet. */
 constexpr double kForcedStopGraceFraction = 0.95;
 
 /** How long callers may cache address responses, unless the settings allow less. */
@@ -126,6 +132,8 @@
   bool worker_has_left = false;
   std::optional<TimePoint> stopping_since;
   bool is_accepting = true;
+  /** Requests that a planned stop has ended, with or without a response. */
+  std::size_t unfinished_requests = 0;
   settings::ExitCode exit = settings::ExitCode::kSuccess;
 
   Impl(net::EventLoop& event_loop, const GatewaySettings& gateway_settings,
@@ -414,16 +422,24 @@
       call_server.StopAccepting();
       call_server.CloseIdleConnections();
     }
+    if (elapsed > settings.stop_grace * kLastResponsesGraceFraction) {
+      unfinished_requests += call_server.InProgress();
+      call_service.RespondBeforeStop();
+    }
     const bool is_over = elapsed > settings.stop_grace * kForcedStopGraceFraction;
-    if (!is_accepting && (call_server.InProgress() == 0 || is_over)) {
+    const bool has_responded = call_server.InProgress() == 0 && call_server.QueuedBytes() == 0;
+    if (!is_accepting && (has_responded || is_over)) {
       EndStop();
     }
   }
 
   void EndStop() {
-    const std::size_t cut_requests = call_server.InProgress();
-    exit = cut_requests == 0 ? settings::ExitCode::kSuccess : settings::ExitCode::kRequestsAborted;
-    logging::LogChange("process", "stopped", {{"cut_requests", std::to_string(cut_requests)}});
+    unfinished_requests += call_server.InProgress();
+    exit = unfinished_requests == 0 ? settings::ExitCode::kSuccess
+                                    : settings::ExitCode::kRequestsAborted;
+    logging::LogChange("process", "stopped",
+                       {{"unfinished_requests", std::to_string(unfinished_requests)},
+                        {"unsent_bytes", std::to_string(call_server.QueuedBytes())}});
     loop.Stop();
   }
 
--- a/libs/http/include/quetzalhinge/http/connection_server.h
+++ b/libs/http/include/quetzalhinge/http/connection_server.h
@@ -107,6 +107,9 @@
 
   std::size_t OpenConnections() const noexcept;
 
+  /** Returns the bytes of responses that wait to be sent. */
+  std::size_t QueuedBytes() const;
+
   /** Returns the number of requests that await a response. */
   std::size_t InProgress() const noexcept;
 
--- a/libs/http/src/connection_server.cc
+++ b/libs/http/src/connection_server.cc
@@ -125,6 +125,7 @@
   bool IsOpen() const { return m_tcp != nullptr && m_tcp->IsOpen(); }
   bool IsIdle() const { return m_exchange.expired() && !m_lingering && !m_reader.IsStarted(); }
   const IpEndpoint& Peer() const { return m_tcp->Peer(); }
+  std::size_t QueuedBytes() const { return m_tcp == nullptr ? 0 : m_tcp->QueuedBytes(); }
   void OnBytes(std::string_view bytes) override;
   void OnEnd(net::TcpEnd end, const Error& error) override;
   void Send(const HttpResponse& response, bool is_head);
@@ -444,6 +445,14 @@
   return m_impl->connections.size();
 }
 
+std::size_t ConnectionServer::QueuedBytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [key, connection] : m_impl->connections) {
+    bytes += connection->QueuedBytes();
+  }
+  return bytes;
+}
+
 std::size_t ConnectionServer::InProgress() const noexcept { return m_impl->in_progress; }
 const RefusalCounts& ConnectionServer::Refused() const noexcept { return m_impl->refused; }
 
