--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -318,8 +318,8 @@
   }
 
   /**
-   * Returns when `rows` were current, at the latest. Their response may have been under way, or in
-   * the socket of a process that stood still, for some time.
+   * Returns the latest time at which `rows` are known to have been current. Their response may have
+   * been under way, or in the socket of a process that stood still, for some time.
    */
   TimePoint CurrentAt(const store::TableRows& rows, const StoreWait& wait) const {
     const TimePoint now = loop.Now();
@@ -422,8 +422,8 @@
   }
 
   /**
-   * Returns whether rows of a peer would revert `table`, or say nothing about it. A peer that has
-   * no changes may be slightly behind in the same history of the store.
+   * Returns whether rows of a peer are older than `table` is here. A peer that was asked for changes
+   * and has none may be slightly behind, but not in an earlier history of the store.
    */
   bool IsOlder(const std::string& table, bool is_change, std::uint64_t version) {
     const std::uint64_t known = state.tables[table].rows.Version();
