--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -422,8 +422,8 @@
   }
 
   /**
-   * Returns whether rows of a peer are older than `table` is here. A peer that was asked for changes
-   * and has none may be slightly behind, but not in an earlier history of the store.
+   * Returns whether rows of a peer are older than `table` is here. A peer that was asked for
+   * changes and has none may be slightly behind, but not in an earlier history of the store.
    */
   bool IsOlder(const std::string& table, bool is_change, std::uint64_t version) {
     const std::uint64_t known = state.tables[table].rows.Version();
