Let VMs of this release and of the one before run side by side

Found by reading: a VM of the release before that takes rows from a newer VM ignores what the store itself gives it afterwards, as older; and it hears revisions that it never reaches, so that each announcement makes it check both tables.

Rows between VMs get a path of their own; a request at the former path is told to read the store, and a peer that does not know the path does not count as an outage. Gossip sends the era in new fields, which take up padding, so that the fields of earlier releases keep their meaning and datagrams their size.

--- a/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
@@ -18,7 +18,13 @@
 namespace qh::gateway {
 
 /** Path at which VMs relay rows: "?table=...&after=<store version>&wait=<ms>". */
-inline constexpr const char* kRelayPath = "/internal/rows";
+inline constexpr const char* kRelayPath = "/internal/store-rows";
+
+/**
+ * The path of releases whose versions do not name the history of the store. VMs of those releases
+ * and of this one do not relay rows to each other, because they cannot compare their versions.
+ */
+inline constexpr const char* kFormerRelayPath = "/internal/rows";
 
 /**
  * A table store that few VMs of each zone read directly; these VMs relay new rows to the other VMs
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -283,7 +283,7 @@
     if (http::PathOnly(path) == "/metrics") {
       UpdateGauges();
       exchange->Respond({200, {{"content-type", "text/plain"}}, metrics.PrometheusText(), false});
-    } else if (http::PathOnly(path) == kRelayPath) {
+    } else if (http::PathOnly(path) == kRelayPath || http::PathOnly(path) == kFormerRelayPath) {
       relayed_store.HandlePeerRequest(exchange);
     } else {
       exchange->Respond({404, {}, "", false});
--- a/libs/gateway/src/peer_request_handler.cc
+++ b/libs/gateway/src/peer_request_handler.cc
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <utility>
 
+#include "quetzalhinge/gateway/relayed_store.h"
+
 namespace qh::gateway {
 namespace {
 
@@ -93,6 +95,10 @@
 
 void PeerRequestHandler::Handle(std::shared_ptr<http::ServerExchange> exchange) {
   const std::string& path = exchange->Request().path;
+  if (http::PathOnly(path) == kFormerRelayPath) {
+    exchange->Respond({kRelayNotReader, {}, "", false});
+    return;
+  }
   const std::string table = http::QueryParameter(path, "table").value_or("");
   const TableState& state = StateOf(table);
   if (!IsFresh(state)) {
--- a/libs/gateway/src/relay_state.h
+++ b/libs/gateway/src/relay_state.h
@@ -16,6 +16,8 @@
 
 /** HTTP statuses of responses between VMs. */
 inline constexpr int kRelayOk = 200;
+/** The peer runs a release that does not relay rows at kRelayPath. */
+inline constexpr int kRelayUnknownPath = 404;
 /** The peer no longer knows all changes since the requested version. */
 inline constexpr int kRelayHistoryGone = 410;
 /** The rows are too large to relay; the requesting VM reads them from the store. */
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -388,6 +388,10 @@
       ReadFromStore(table, after, sequence, peers_tried);
       return;
     }
+    if (response->status == kRelayUnknownPath) {
+      ReadFromNamedReader(peer, std::nullopt, table, after, sequence, peers_tried);
+      return;
+    }
     if (response->status == kRelayNotReader) {
       ReadFromNamedReader(peer, ParseReader(response->body), table, after, sequence, peers_tried);
       return;
@@ -430,7 +434,10 @@
     return is_change ? store::EraOf(version) < store::EraOf(known) : version < known;
   }
 
-  /** Reads from `reader`, from which `peer` reads; if that is this VM, reads the store. */
+  /**
+   * Reads from `reader`, from which `peer` reads, or from the next source if there is none. If
+   * `reader` is this VM, reads the store.
+   */
   void ReadFromNamedReader(const RelayPeer& peer, const std::optional<RelayPeer>& reader,
                            const std::string& table, std::optional<std::uint64_t> after,
                            std::uint64_t sequence, int peers_tried) {
--- a/libs/gateway/test/test_relay.cc
+++ b/libs/gateway/test/test_relay.cc
@@ -10,6 +10,7 @@
 #include "quetzalhinge/gateway/relay_selector.h"
 #include "quetzalhinge/gateway/relayed_store.h"
 #include "quetzalhinge/gateway/row_copy.h"
+#include "quetzalhinge/http/client_connection.h"
 
 namespace qh::gateway {
 
@@ -409,6 +410,55 @@
   CHECK(std::chrono::milliseconds(wait) > pace.Cycle());
 }
 
+// Guards against versions of the store that VMs of two releases form in different ways and cannot
+// compare.
+SCENARIO("VMs of the release before relay no rows to this one, nor this one to them") {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  store.Put("a", "1");
+
+  GIVEN("a VM whose peers are all of the release before, which does not know the path") {
+    // More than the VMs that read a store which refuses its zone; see RelaySelectorOptions.
+    constexpr int kPeers = 9;
+    std::vector<std::unique_ptr<http::ConnectionServer>> servers;
+    std::vector<RelayPeer> peers;
+    for (int i = 0; i < kPeers; ++i) {
+      servers.push_back(std::make_unique<http::ConnectionServer>(
+          loop, http::ConnectionLimits{}, [](const auto& exchange) {
+            exchange->Respond({404, {}, "", false});
+          }));
+      REQUIRE(IsOk(servers.back()->Listen({"127.0.0.1", 0})));
+      peers.push_back({"peer-" + std::to_string(i), servers.back()->LocalEndpoint()});
+    }
+    RelayVm vm(loop, store, "vm");
+    vm.store.SetPeers(peers);
+    THEN("it reads the store, since their answers do not mean an outage") {
+      REQUIRE(IsOk(Read(loop, {&vm}, vm, std::nullopt)));
+      CHECK(vm.store.WasReadFromStore("workers"));
+      CHECK(vm.store.WouldReadStore());
+    }
+  }
+  GIVEN("a reader with fresh rows") {
+    RelayVm reader(loop, store, "reader");
+    REQUIRE(IsOk(Read(loop, {&reader}, reader, std::nullopt)));
+    WHEN("a VM of the release before asks it for rows") {
+      http::ClientConnection connection(loop, reader.server.LocalEndpoint(), {});
+      http::ClientRequest call;
+      call.request = {"GET", "/internal/rows?table=workers", {}, ""};
+      call.timeout = 20s;
+      std::optional<http::HttpCallResult> result;
+      connection.Start(call, [&](http::HttpCallResult value) { result = std::move(value); });
+      RunUntil(loop, {&reader}, [&] { return result.has_value(); });
+      THEN("it is told to read the store") {
+        const auto* response = std::get_if<http::HttpResponse>(&*result);
+        REQUIRE(response != nullptr);
+        CHECK(response->status == 421);
+        CHECK(response->body.empty());
+      }
+    }
+  }
+}
+
 // Guards against rows that count as current although their response waited in the socket of a
 // process that stood still.
 SCENARIO("A response of the store that is read late does not count as current") {
--- a/libs/gossip/src/gossip_codec.cc
+++ b/libs/gossip/src/gossip_codec.cc
@@ -29,6 +29,20 @@
 /** Unit of heartbeat ages on the wire. */
 constexpr std::chrono::milliseconds kAgeUnit{100};
 
+/** Bits of revisions and of values of notices in the fields that all releases know. */
+constexpr int kLowerBits = 48;
+constexpr std::uint64_t kLowerMask = (std::uint64_t{1} << kLowerBits) - 1;
+
+std::uint64_t LowerPart(std::uint64_t number) { return number & kLowerMask; }
+
+std::uint16_t UpperPart(std::uint64_t number) {
+  return static_cast<std::uint16_t>(number >> kLowerBits);
+}
+
+std::uint64_t JoinParts(std::uint16_t upper, std::uint64_t lower) {
+  return (std::uint64_t{upper} << kLowerBits) | LowerPart(lower);
+}
+
 /** Rounds down, so that forwarding does not increase an age. */
 std::uint8_t EncodeAge(std::chrono::milliseconds age) {
   return static_cast<std::uint8_t>(std::clamp<std::int64_t>(age / kAgeUnit, 0, UINT8_MAX));
@@ -54,7 +68,8 @@
   out.setZone(record.zone);
   out.setEntryIncarnation(record.entry_incarnation);
   out.setGeneration(record.generation);
-  out.setRevision(record.revision);
+  out.setRevision(LowerPart(record.revision));
+  out.setRevisionEra(UpperPart(record.revision));
   out.setVersion(record.version);
   out.setHeartbeat(record.heartbeat);
   out.setHeartbeatAge(EncodeAge(record.heartbeat_age));
@@ -78,7 +93,7 @@
   record.zone = ReadText(in.getZone());
   record.entry_incarnation = ReadText(in.getEntryIncarnation());
   record.generation = in.getGeneration();
-  record.revision = in.getRevision();
+  record.revision = JoinParts(in.getRevisionEra(), in.getRevision());
   record.version = in.getVersion();
   record.heartbeat = in.getHeartbeat();
   record.heartbeat_age = in.getHeartbeatAge() * kAgeUnit;
@@ -96,7 +111,8 @@
   out.setKind(static_cast<std::uint8_t>(notice.kind));
   out.setSubject(notice.subject);
   out.setDetail(notice.detail);
-  out.setValue(notice.value);
+  out.setValue(LowerPart(notice.value));
+  out.setValueEra(UpperPart(notice.value));
   out.setStampMicros(notice.stamp_us);
   out.setLifetimeMillis(static_cast<std::uint32_t>(notice.lifetime.count()));
 }
@@ -105,7 +121,7 @@
   return {static_cast<membership::NoticeKind>(in.getKind()),
           ReadText(in.getSubject()),
           ReadText(in.getDetail()),
-          in.getValue(),
+          JoinParts(in.getValueEra(), in.getValue()),
           in.getStampMicros(),
           std::chrono::milliseconds(in.getLifetimeMillis())};
 }
--- a/libs/rpc/schema/gossip.capnp
+++ b/libs/rpc/schema/gossip.capnp
@@ -11,6 +11,7 @@
   zone @1 :Text;
   entryIncarnation @2 :Text;
   generation @3 :UInt64;
+  # Lower 48 bits of the revision; see revisionEra.
   revision @4 :UInt64;
   version @5 :UInt32;
   heartbeat @6 :UInt32;
@@ -28,15 +29,21 @@
   operatorsPort @18 :UInt16;
   # Age of the heartbeat in tenths of a second, rounded down; 255 for greater ages.
   heartbeatAge @19 :UInt8;
+  # Upper 16 bits of the revision: the number of the store's history. Releases without this field
+  # compare the lower bits, which are ordered as long as the store does not lose changes.
+  revisionEra @20 :UInt16;
 }
 
 struct GossipNotice {
   kind @0 :UInt8;
   subject @1 :Text;
   detail @2 :Text;
+  # Lower 48 bits of the value; see valueEra.
   value @3 :UInt64;
   stampMicros @4 :Int64;
   lifetimeMillis @5 :UInt32;
+  # Upper 16 bits of the value, as for GossipRecord.revisionEra.
+  valueEra @6 :UInt16;
 }
 
 struct GossipHeartbeat {
