Split what a VM knows about the store from RelayedStore

StoreMonitor holds outages, era and clock; no change of behaviour, except for the new gauge qh_store_era. test_relay, test_copy_age, test_new_era, test_store_copy, test_store_restored pass.

--- a/libs/gateway/include/quetzalhinge/gateway/call_service.h
+++ b/libs/gateway/include/quetzalhinge/gateway/call_service.h
@@ -65,7 +65,7 @@
 
   /** Calls in progress, and some that have ended since. */
   std::vector<std::weak_ptr<CallTask>> m_calls;
-  /** Number of calls from which those that have ended are dropped. */
+  /** Length of `m_calls` at which the calls that have ended are dropped from it. */
   std::size_t m_max_calls;
   std::function<void()> m_on_missing_configuration;
   bool m_refuse_new_calls = false;
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -8,12 +8,12 @@
 #include "peer_request_handler.h"
 #include "peer_rows_client.h"
 #include "quetzalhinge/gateway/row_copy.h"
-#include "quetzalhinge/gateway/store_clock.h"
 #include "quetzalhinge/logging/log.h"
 #include "quetzalhinge/net/timer.h"
 #include "quetzalhinge/store/store_version.h"
 #include "read_pace.h"
 #include "relay_state.h"
+#include "store_monitor.h"
 
 namespace qh::gateway {
 namespace {
@@ -26,15 +26,6 @@
  */
 constexpr int kMaxPeersTried = 10;
 
-/** During an outage up to this length, no entries in the store expire. */
-constexpr milliseconds kShortOutage{300};
-
-/** Time on the way from which a response is logged as late, as a fraction of `apply_within`. */
-constexpr double kLateResponseFraction = 0.1;
-
-/** Time after which a failure no longer indicates that the store is unavailable. */
-constexpr milliseconds kFailureRetention{1500};
-
 }  // namespace
 
 struct RelayedStore::Impl : public std::enable_shared_from_this<RelayedStore::Impl> {
@@ -51,13 +42,6 @@
     Callback<store::TableRows> pending_callback;
   };
 
-  /** A read of the store: a wait for changes, or a read of the whole table, which ends at once. */
-  struct StoreWait {
-    TimePoint started_at;
-    /** When the store responds at the latest, apart from the time that the response takes. */
-    TimePoint end;
-  };
-
   net::EventLoop& loop;
   metrics::MetricsRegistry& metrics;
   store::TableStore& direct_store;
@@ -71,14 +55,7 @@
   PeerRequestHandler peer_request_handler{loop, state};
   PeerRowsClient peer_rows;
   std::map<std::string, TableRead> table_reads;
-  StoreClock store_clock;
-  /** Newest known history of the store; empty before the first read. */
-  std::optional<std::uint64_t> store_era;
-  TimePoint store_failed_at{};
-  /** Table whose read failed first in an outage; other tables wait until a read of it succeeds. */
-  std::string outage_probe_table;
-  std::function<void(Duration)> on_store_recovered;
-  std::function<void(std::uint64_t)> on_era;
+  StoreMonitor monitor;
 
   Impl(net::EventLoop& event_loop, metrics::MetricsRegistry& registry, store::TableStore& store,
        const std::string& vm, milliseconds max_delay)
@@ -91,7 +68,8 @@
         store_reads(metrics.CounterOf("qh_store_reads_total", "source=\"store\"")),
         store_checks(metrics.CounterOf("qh_store_reads_total", "source=\"store check\"")),
         peer_reads(metrics.CounterOf("qh_store_reads_total", "source=\"peer\"")),
-        peer_rows(loop, apply_within) {}
+        peer_rows(loop, apply_within),
+        monitor(loop, state, apply_within) {}
 
   TableRead& ReadOf(const std::string& table) {
     return table_reads.try_emplace(table, apply_within).first->second;
@@ -186,8 +164,7 @@
       current.pause_timer->StartOnce(std::chrono::ceil<milliseconds>(left));
       return;
     }
-    ExpireStoreFailure();
-    if (state.store_failing_since.has_value() && table != outage_probe_table) {
+    if (monitor.IsBlockedByOutage(table)) {
       PostFailure(table, sequence, "store outage detected by a read of another table");
       return;
     }
@@ -234,81 +211,32 @@
         });
   }
 
-  /** Clears an old failure: this VM may have read from peers only since then. */
-  void ExpireStoreFailure() {
-    if (state.store_failing_since.has_value() && loop.Now() - store_failed_at > kFailureRetention) {
-      state.store_failing_since.reset();
-    }
-  }
-
-  /**
-   * Detects that the store continues from an older copy. As after an outage, entries may be missing
-   * that are written again soon.
-   */
-  void DetectNewEra(const store::TableRows& rows) {
-    const std::uint64_t era = store::EraOf(rows.version);
-    if (store_era.has_value() && era <= *store_era) {
-      return;
-    }
-    const std::optional<std::uint64_t> before = std::exchange(store_era, era);
-    if (before.has_value()) {
-      logging::LogChange("store", "continues from older copy",
-                         {{"version", store::FormatVersion(rows.version)},
-                          {"era_before", std::to_string(*before)}});
-      OnOutageEnded(loop.Now());
-    }
-    if (on_era != nullptr) {
-      on_era(era);
-    }
-  }
-
-  /** Records when the store made a response, and logs a late one. */
-  void RecordStoreTime(const std::string& table, TimePoint started_at,
-                       const store::TableRows& rows) {
-    if (!rows.store_time.has_value()) {
-      return;
-    }
-    store_clock.OnResponse(*rows.store_time, started_at, loop.Now());
-    const Duration delay = loop.Now() - *store_clock.LocalTimeOf(*rows.store_time);
-    if (delay > apply_within * kLateResponseFraction) {
-      logging::LogDecision("store", "late response",
-                           {{"table", table},
-                            {"version", store::FormatVersion(rows.version)},
-                            {"rows", std::to_string(rows.rows.size())},
-                            {"delay_ms", std::to_string(ToMillis(delay))}});
-    }
-  }
-
   /** Records whether the store responds to this VM. */
   void RecordStoreResult(const std::string& table, TimePoint started_at,
                          const Result<store::TableRows>& result) {
     if (IsOk(result)) {
-      RecordStoreTime(table, started_at, ValueOf(result));
+      monitor.OnResponse(table, started_at, ValueOf(result));
     }
     if (IsOk(result) || ErrorOf(result).code == ErrorCode::kConflict) {
-      OnStoreResponding();
+      selector.OnSuccess(own_vm);
+      monitor.OnResponding();
       return;
     }
     LogFailedRead(table, "store", started_at, ErrorOf(result).detail);
-    ExpireStoreFailure();
-    store_failed_at = loop.Now();
-    if (!state.store_failing_since.has_value()) {
-      state.store_failing_since = started_at;
-      outage_probe_table = table;
-    }
+    monitor.OnFailure(table, started_at);
     selector.OnStale(own_vm, loop.Now());
     state.tables[table].fresh_at.reset();
     peer_request_handler.OnStoreFailed(table);
   }
 
   void OnStoreResult(const std::string& table, std::optional<std::uint64_t> after,
-                     std::uint64_t sequence, int peers_tried, const StoreWait& wait,
+                     std::uint64_t sequence, int peers_tried, const StoreRead& read,
                      const Result<store::TableRows>& result) {
-    RecordStoreResult(table, wait.started_at, result);
+    RecordStoreResult(table, read.started_at, result);
     state.tables[table].reader = {};
     if (IsOk(result)) {
       UpdateTable(table, sequence, ValueOf(result), !after.has_value(),
-                  CurrentAt(ValueOf(result), wait), true);
+                  monitor.CurrentAt(ValueOf(result), read), true);
     } else if (ErrorOf(result).code != ErrorCode::kConflict && peers_tried < kMaxPeersTried) {
       // The store may refuse this VM but serve other VMs.
       ReadFromNextSource(table, after, sequence, peers_tried + 1);
@@ -317,41 +245,6 @@
     Complete(table, sequence, result);
   }
 
-  /**
-   * Returns the latest time at which `rows` are known to have been current. Their response may have
-   * been under way, or in the socket of a process that stood still, for some time.
-   */
-  TimePoint CurrentAt(const store::TableRows& rows, const StoreWait& wait) const {
-    const TimePoint now = loop.Now();
-    if (rows.store_time.has_value()) {
-      return std::clamp(*store_clock.LocalTimeOf(*rows.store_time), wait.started_at, now);
-    }
-    // A response without changes was sent when the wait ended, at the latest.
-    return rows.rows.empty() ? std::min(now, wait.end) : wait.started_at;
-  }
-
-  void OnStoreResponding() {
-    selector.OnSuccess(own_vm);
-    if (state.store_failing_since.has_value()) {
-      const Duration outage = loop.Now() - *state.store_failing_since;
-      state.store_failing_since.reset();
-      if (outage > kShortOutage) {
-        OnOutageEnded(loop.Now());
-      }
-    }
-  }
-
-  void OnOutageEnded(TimePoint recovered_at) {
-    if (state.store_recovered_at.has_value() &&
-        recovered_at <= *state.store_recovered_at + kShortOutage) {
-      return;
-    }
-    state.store_recovered_at = recovered_at;
-    if (on_store_recovered != nullptr) {
-      on_store_recovered(loop.Now() - recovered_at);
-    }
-  }
-
   void ReadFromPeer(const RelayPeer& peer, const std::string& table,
                     std::optional<std::uint64_t> after, std::uint64_t sequence, int peers_tried) {
     peer_reads.Add();
@@ -419,7 +312,7 @@
     // `started_at` at the earliest.
     const TimePoint sent_at = std::min(loop.Now(), started_at + value.held);
     if (value.since_outage.has_value()) {
-      OnOutageEnded(sent_at - *value.since_outage);
+      monitor.OnOutageEnded(sent_at - *value.since_outage);
     }
     UpdateTable(table, sequence, value.rows, !after.has_value(), sent_at - value.age, false);
     Complete(table, sequence, value.rows);
@@ -472,7 +365,7 @@
                             {"from_store", from_store ? "yes" : "no"}});
       return;
     }
-    DetectNewEra(rows);
+    monitor.OnVersion(rows.version);
     if (!table_state.fresh_at.has_value() || fresh_at > *table_state.fresh_at) {
       table_state.fresh_at = fresh_at;
     }
@@ -508,11 +401,11 @@
 RelayedStore::~RelayedStore() = default;
 
 void RelayedStore::OnStoreRecovered(std::function<void(Duration ago)> callback) {
-  m_impl->on_store_recovered = std::move(callback);
+  m_impl->monitor.OnStoreRecovered(std::move(callback));
 }
 
 void RelayedStore::OnEra(std::function<void(std::uint64_t era)> callback) {
-  m_impl->on_era = std::move(callback);
+  m_impl->monitor.OnEra(std::move(callback));
 }
 
 void RelayedStore::SetPeers(const std::vector<RelayPeer>& peers) {
@@ -526,6 +419,7 @@
 void RelayedStore::Tick() { m_impl->peer_request_handler.Tick(); }
 
 void RelayedStore::UpdateGauges() {
+  m_impl->metrics.GaugeOf("qh_store_era").Set(static_cast<double>(m_impl->monitor.Era()));
   for (const auto& [table, table_state] : m_impl->state.tables) {
     if (table_state.confirmed_at.has_value()) {
       const std::chrono::duration<double> age = m_impl->loop.Now() - *table_state.confirmed_at;
