Keep the grace of a planned stop when the stop signal arrives again

What callers saw: requests in progress end with a closed connection and no answer, orders among them, when qh-gateway receives a second SIGTERM or SIGINT during a planned stop (LOST).

Cause: GatewayProcess::OnStopSignal() ended the loop at once on the second signal. Nobody needs that: the platform sends SIGKILL after the grace, and a stop without open requests ends early anyway.

Change: further stop signals are logged and have no other effect.

--- a/libs/gateway/include/quetzalhinge/gateway/gateway_process.h
+++ b/libs/gateway/include/quetzalhinge/gateway/gateway_process.h
@@ -65,7 +65,7 @@
 
   /**
    * Handles a stop signal. The first signal starts a graceful shutdown: the process completes
-   * requests in progress, then stops the loop. A further signal stops the loop at once.
+   * requests in progress, then stops the loop. Further signals neither shorten nor extend it.
    * @param count number of stop signals received so far
    */
   void OnStopSignal(int count);
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -475,7 +475,9 @@
   if (count == 1) {
     m_impl->BeginStop();
   } else {
-    m_impl->EndStop();
+    // The signals of two operators or tools may overlap. A stop without grace is SIGKILL.
+    logging::LogChange("process", "stop signal ignored",
+                       {{"reason", "already stopping"}, {"signals", std::to_string(count)}});
   }
 }
 
