Respond to each open call when qh-entry ends a stop early

What callers saw: when a planned stop of qh-entry reaches drain_limit, or a second stop signal comes, all calls in progress end with a closed connection and no answer (LOST).

Cause: EntryProcess::StopProcess() ended the loop and only counted the calls in progress ("cut_requests").

Change: a forced stop first responds to each open call. Calls that no worker can have run get shutting_down (503, not run); all others get outcome_unknown (502), also those whose key is still being resolved at another VM. The process ends when the responses are written, at the latest 1 s later. Exit code and count of cut requests stay as they are.

--- a/apps/qh-entry/src/call_service.cc
+++ b/apps/qh-entry/src/call_service.cc
@@ -81,8 +81,24 @@
     Refuse(exchange, *error);
     return;
   }
-  ++m_in_progress;
-  std::make_shared<CallTask>(*this, exchange, std::get<CallRequest>(std::move(parsed)))->Begin();
+  const auto task =
+      std::make_shared<CallTask>(*this, exchange, std::get<CallRequest>(std::move(parsed)));
+  m_open_calls.emplace(task.get(), task);
+  task->Begin();
+}
+
+void CallService::EndCallsBeforeStop() {
+  SetState(ServiceState::kStopped);
+  // Removed first, because the end of a call at a worker would start a call that waits for one.
+  // Kept until the end of this function, because the queue owns these calls.
+  const auto waiting = std::exchange(m_waiting, {});
+  m_queues.clear();
+  const auto open_calls = m_open_calls;
+  for (const auto& [key, call] : open_calls) {
+    if (const std::shared_ptr<CallTask> task = call.lock()) {
+      task->EndBeforeStop();
+    }
+  }
 }
 
 std::optional<CallError> CallService::CheckState() const {
--- a/apps/qh-entry/src/call_service.h
+++ b/apps/qh-entry/src/call_service.h
@@ -60,7 +60,10 @@
   ServiceState State() const noexcept { return m_state; }
 
   /** Returns the number of calls without a response so far. */
-  std::size_t InProgress() const noexcept { return m_in_progress; }
+  std::size_t InProgress() const noexcept { return m_open_calls.size(); }
+
+  /** Stops the service and responds to all calls in progress with what is known of them. */
+  void EndCallsBeforeStop();
 
   /**
    * If this VM is draining or stopped, adds the header x-qh-refresh and closes the connection after
@@ -85,8 +88,8 @@
   /** Counts a response by its outcome and code. */
   void CountCall(Outcome outcome, const char* code);
 
-  /** Removes a call from the count of calls in progress. */
-  void OnCallFinished() noexcept { --m_in_progress; }
+  /** Removes a call from the calls in progress. */
+  void OnCallFinished(const CallTask& task) noexcept { m_open_calls.erase(&task); }
 
  private:
   /**
@@ -113,7 +116,7 @@
   CallContext m_context;
   const AddressBook& m_addresses;
   ServiceState m_state = ServiceState::kNotReady;
-  std::size_t m_in_progress = 0;
+  std::map<const CallTask*, std::weak_ptr<CallTask>> m_open_calls;
   std::map<QueueKey, std::unique_ptr<limits::AdmissionQueue>> m_queues;
   std::map<std::uint64_t, std::shared_ptr<CallTask>> m_waiting;
   net::Timer m_expiry_timer;
--- a/apps/qh-entry/src/call_task.cc
+++ b/apps/qh-entry/src/call_task.cc
@@ -106,6 +106,7 @@
 }
 
 void CallTask::BeginKey() {
+  m_resolving_key = true;
   m_context.keys.Begin(m_call, [self = shared_from_this()](const KeyDecision& decision) {
     self->OnKeyDecision(decision);
   });
@@ -165,6 +166,10 @@
 }
 
 void CallTask::OnKeyDecision(const KeyDecision& decision) {
+  m_resolving_key = false;
+  if (m_ended) {
+    return;
+  }
   if (const auto* begun = std::get_if<KeyBegun>(&decision)) {
     m_ticket = begun->ticket;
     CheckAndStart();
@@ -275,7 +280,7 @@
   }
 }
 
-void CallTask::CancelOtherAttempts() {
+void CallTask::CancelAttempts() {
   m_hedge_timer.reset();
   for (const RunningAttempt& running : std::exchange(m_running_attempts, {})) {
     m_context.workers.CancelAttempt(running.number);
@@ -320,7 +325,7 @@
                            ? "status " + std::to_string(result.response.status)
                            : ToString(result.error));
   if (result.end == AttemptEnd::kAnswered) {
-    CancelOtherAttempts();
+    CancelAttempts();
     ForwardResponse(result);
     return;
   }
@@ -389,6 +394,17 @@
   Fail(error);
 }
 
+void CallTask::EndBeforeStop() {
+  // An earlier request with a key that is not resolved yet may have run.
+  const bool may_have_run = m_may_have_run || m_resolving_key || !m_running_attempts.empty();
+  CancelAttempts();
+  if (may_have_run) {
+    Fail({CallErrorCode::kOutcomeUnknown, "this VM stopped before the call ended", {}});
+  } else {
+    Fail({CallErrorCode::kShuttingDown, "this VM is stopping", {}});
+  }
+}
+
 limits::QueuedRequest CallTask::ToQueuedRequest() const {
   limits::QueuedRequest request;
   // The address of this object is unique among waiting calls, because CallService keeps them alive.
@@ -429,6 +445,7 @@
 }
 
 void CallTask::SendResponse(http::HttpResponse response, Outcome outcome, const char* code) {
+  m_ended = true;
   FinishKey(outcome, response);
   if (m_admitted) {
     if (CustomerState* customer = m_context.customers.Find(m_call.customer)) {
@@ -445,7 +462,7 @@
       .Record(duration_cast<microseconds>(total - m_max_attempt_latency));
   m_context.events.Add("call_ended", m_request_id, m_call.customer, "", code);
   m_service.MarkIfDraining(response);
-  m_service.OnCallFinished();
+  m_service.OnCallFinished(*this);
   m_exchange->Respond(std::move(response));
 }
 
--- a/apps/qh-entry/src/call_task.h
+++ b/apps/qh-entry/src/call_task.h
@@ -33,6 +33,12 @@
    */
   void RefuseFromQueue(const CallError& error);
 
+  /**
+   * Ends a call that is still open when the process stops. The outcome is unknown if a worker may
+   * have run the request; otherwise the call is refused.
+   */
+  void EndBeforeStop();
+
   /** Returns the entry of the call for an AdmissionQueue. */
   limits::QueuedRequest ToQueuedRequest() const;
 
@@ -53,7 +59,7 @@
   void StartHedge();
   retries::HedgeCandidate ToHedgeCandidate() const;
   void OnAttemptEnd(const std::string& worker, const AttemptResult& result);
-  void CancelOtherAttempts();
+  void CancelAttempts();
   void ForwardResponse(const AttemptResult& result);
   void RetryOrFail(const AttemptResult& result);
   CallError ErrorOfAttempt(const AttemptResult& result) const;
@@ -86,6 +92,9 @@
   std::unique_ptr<net::Timer> m_hedge_timer;
   /** Whether an attempt may have run; the outcome must then not be reported as "not run". */
   bool m_may_have_run = false;
+  /** Whether the state of the key is being resolved at the VM that holds it. */
+  bool m_resolving_key = false;
+  bool m_ended = false;
   /** Excluded from the latency that this VM adds to the call (qh_call_added_seconds). */
   Duration m_max_attempt_latency{};
 };
--- a/apps/qh-entry/src/entry_process.cc
+++ b/apps/qh-entry/src/entry_process.cc
@@ -24,6 +24,8 @@
  * received the address of this VM just before the drain started.
  */
 constexpr milliseconds kDrainMargin{1000};
+/** Limit on the time to send the responses to calls that a forced stop has ended. */
+constexpr milliseconds kLastResponsesLimit{1000};
 
 contract::ContractBookOptions BookOptions(const vm_settings::EntryVmSettings& settings) {
   contract::ContractBookOptions options;
@@ -74,6 +76,9 @@
   net::Timer borrow_timer;
   net::Timer drain_timer;
   TimePoint drain_started;
+  /** Start of a forced stop, which ends the calls in progress. */
+  std::optional<TimePoint> forced_stop_started;
+  std::size_t cut_requests = 0;
   bool view_received = false;
   settings::ExitCode exit_code = settings::ExitCode::kSuccess;
 
@@ -242,18 +247,44 @@
       calls.SetState(ServiceState::kStopped);
       caller_server.StopAccepting();
     }
-    if (calls.State() == ServiceState::kStopped && calls.InProgress() == 0 &&
-        caller_server.InProgress() == 0) {
-      StopProcess(settings::ExitCode::kSuccess);
+    if (forced_stop_started.has_value()) {
+      ContinueForcedStop();
+    } else if (calls.State() == ServiceState::kStopped && calls.InProgress() == 0 &&
+               caller_server.InProgress() == 0) {
+      StopProcess();
     } else if (elapsed >= settings.drain_limit) {
-      StopProcess(settings::ExitCode::kRequestsAborted);
+      BeginForcedStop("drain limit");
     }
   }
 
-  void StopProcess(settings::ExitCode code) {
+  /** Ends the calls in progress, with a response to each. */
+  void BeginForcedStop(const char* reason) {
+    if (forced_stop_started.has_value()) {
+      return;
+    }
+    forced_stop_started = loop.Now();
+    cut_requests = calls.InProgress();
+    logging::LogChange("entry", "forced stop",
+                       {{"reason", reason}, {"cut_requests", std::to_string(cut_requests)}});
+    caller_server.StopAccepting();
+    calls.EndCallsBeforeStop();
+    ContinueForcedStop();
+  }
+
+  void ContinueForcedStop() {
+    if (caller_server.QueuedBytes() == 0 ||
+        loop.Now() - *forced_stop_started > kLastResponsesLimit) {
+      StopProcess();
+    }
+  }
+
+  void StopProcess() {
     // A forced stop without calls in progress interrupts no request.
-    exit_code = calls.InProgress() == 0 ? settings::ExitCode::kSuccess : code;
-    logging::LogChange("entry", "stop", {{"cut_requests", std::to_string(calls.InProgress())}});
+    exit_code =
+        cut_requests == 0 ? settings::ExitCode::kSuccess : settings::ExitCode::kRequestsAborted;
+    logging::LogChange("entry", "stop",
+                       {{"cut_requests", std::to_string(cut_requests)},
+                        {"unsent_bytes", std::to_string(caller_server.QueuedBytes())}});
     drain_timer.Stop();
     loop.Stop();
   }
@@ -288,7 +319,7 @@
   if (count == 1) {
     m_impl->BeginDrain();
   } else {
-    m_impl->StopProcess(settings::ExitCode::kRequestsAborted);
+    m_impl->BeginForcedStop("second stop signal");
   }
 }
 
--- a/libs/http/include/quetzalhinge/http/http_server.h
+++ b/libs/http/include/quetzalhinge/http/http_server.h
@@ -92,6 +92,9 @@
 
   std::size_t OpenConnections() const noexcept;
 
+  /** Returns the bytes of responses that wait to be sent. */
+  std::size_t QueuedBytes() const;
+
   /** Returns the number of requests that were passed to the handler and await a response. */
   std::size_t InProgress() const noexcept;
 
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -63,6 +63,7 @@
 std::size_t HttpServer::OpenConnections() const noexcept {
   return m_impl->server.OpenConnections();
 }
+std::size_t HttpServer::QueuedBytes() const { return m_impl->server.QueuedBytes(); }
 std::size_t HttpServer::InProgress() const noexcept { return m_impl->server.InProgress(); }
 
 }  // namespace qh::http
