Reject responses without a valid status code

Through qh-gateway the caller did not get it, but waited for its time-out, or got the next response on the connection, which may belong to something else.

Cause: MessageReader took every status under 200 for an interim response, http_parser reads any number of digits as a status, and 600 and above went on to the caller as the worker's failure response. Class: a value from outside that is compared but never checked.

Change: a status code has three digits and lies between 100 and 599 (RFC 9112, section 4, and RFC 9110, section 15); 101 is refused too, since no request asks for another protocol. Such a response ends the attempt as failed, "may have run", and closes the connection; safe requests go to another worker.

--- a/libs/gateway/test/call_fixture.h
+++ b/libs/gateway/test/call_fixture.h
@@ -56,6 +56,8 @@
   kShedWithoutHeader,
   /** Sends a body without end. */
   kEndlessBody,
+  /** Sends a response with status 000, then one with status 200 on the same connection. */
+  kStatusZero,
   /** Sends a refusal of an earlier probe once more, then serves the request. */
   kRepeatOldRefusal,
   kCloseConnection,
@@ -164,6 +166,11 @@
           connection.tcp->Write(std::string(1'000'000, 'x'));
         }
         break;
+      case Behaviour::kStatusZero:
+        connection.tcp->Write("HTTP/1.1 000 x\r\nx-signature: s\r\nx-id: " + id +
+                              "\r\ncontent-length: 2\r\n\r\nok");
+        connection.Send(200, id, "x-signature: s\r\n", "late");
+        break;
       case Behaviour::kRepeatOldRefusal:
         connection.tcp->Write("HTTP/1.1 503 x\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
         connection.Send(200, id, "x-signature: s\r\n", "from " + m_id);
--- a/libs/gateway/test/test_calls.cc
+++ b/libs/gateway/test/test_calls.cc
@@ -113,6 +113,17 @@
       CHECK(fixture.ExecutedCount() == 1);
     }
   }
+  // Guards against a caller that gets a second response of the worker, or none until its deadline,
+  // after one whose status is no status.
+  WHEN("a worker sends a response with status 000") {
+    fixture.SetBehaviour(Behaviour::kStatusZero);
+    const http::HttpResponse response = fixture.Call();
+    THEN("the attempt has failed, and the request may have run") {
+      CHECK(response.status == 502);
+      CHECK(response.body.empty());
+      CHECK(fixture.ExecutedCount() == 1);
+    }
+  }
   // Guards against a VM that buffers bytes without end until the deadline or the end of its memory.
   WHEN("a worker sends a body without end") {
     fixture.SetBehaviour(Behaviour::kEndlessBody);
@@ -144,6 +155,14 @@
       }
     }
   }
+  WHEN("one worker sends responses with status 000") {
+    fixture.first.behaviour = Behaviour::kStatusZero;
+    THEN("the other worker serves the request") {
+      for (int i = 0; i < 6; ++i) {
+        CHECK(fixture.Call().body == "from w-2");
+      }
+    }
+  }
   WHEN("both workers fail") {
     fixture.SetBehaviour(Behaviour::kFail);
     const http::HttpResponse response = fixture.Call();
--- a/libs/http/src/message_reader.cc
+++ b/libs/http/src/message_reader.cc
@@ -8,6 +8,7 @@
 
 #include "framing_check.h"
 #include "quetzalhinge/base/enum_table.h"
+#include "status_code_check.h"
 
 namespace qh::http {
 namespace {
@@ -58,6 +59,7 @@
   MessageKind kind;
   ReaderLimits limits;
   http_parser parser{};
+  StatusCodeCheck status_code;
   HttpRequest request;
   HttpResponse response;
   std::size_t head_bytes = 0;
@@ -102,6 +104,7 @@
     ReleaseBody();
     http_parser_init(&parser, kind == MessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
     parser.data = this;
+    status_code.Restart();
     request = HttpRequest{};
     response = HttpResponse{};
     head_bytes = 0;
@@ -175,6 +178,11 @@
       impl.fault = ReadFault::kAmbiguousFraming;
       return -1;
     }
+    if (impl.kind == MessageKind::kResponse &&
+        (!impl.status_code.HasThreeDigits() || !IsValidStatus(impl.response.status))) {
+      impl.fault = ReadFault::kMalformed;
+      return -1;
+    }
     const bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
     if (has_length && parser->content_length > impl.limits.max_body_bytes) {
       impl.fault = ReadFault::kBodyTooLarge;
@@ -193,9 +201,12 @@
     return 0;
   }
 
+  /** Pauses the parser, so that Parse() returns at the end of the message. */
   static int OnMessageComplete(http_parser* parser) {
     Impl& impl = From(parser);
+    http_parser_pause(parser, 1);
     if (impl.kind == MessageKind::kResponse && impl.response.status < kFirstFinalStatus) {
+      impl.status_code.Restart();
       impl.response = HttpResponse{};
       impl.head_complete = false;
       impl.reading_value = false;
@@ -203,10 +214,35 @@
     }
     impl.complete = true;
     impl.keeps_connection = http_should_keep_alive(parser) != 0;
-    http_parser_pause(parser, 1);
     return 0;
   }
 
+  /**
+   * Parses up to the end of the current message, which may be an interim response, and returns the
+   * number of consumed bytes.
+   */
+  std::size_t Parse(std::string_view bytes) {
+    status_code.Read(bytes);
+    const std::size_t used = http_parser_execute(&parser, &Settings(), bytes.data(), bytes.size());
+    const http_errno error = HTTP_PARSER_ERRNO(&parser);
+    if (error == HPE_PAUSED) {
+      http_parser_pause(&parser, 0);
+    }
+    if (!head_complete) {
+      head_bytes += used;
+      if (head_bytes > limits.max_head_bytes && !fault.has_value()) {
+        fault = ReadFault::kHeadTooLarge;
+      }
+    }
+    if (error != HPE_OK && error != HPE_PAUSED && !fault.has_value()) {
+      fault = FaultOf(error);
+    }
+    if (fault.has_value()) {
+      complete = false;
+    }
+    return used;
+  }
+
   static const http_parser_settings& Settings() {
     static const http_parser_settings settings = [] {
       http_parser_settings callbacks;
@@ -228,24 +264,10 @@
 MessageReader::~MessageReader() = default;
 
 std::size_t MessageReader::Read(std::string_view bytes) {
-  if (m_impl->complete || m_impl->fault.has_value() || bytes.empty()) {
-    return 0;
-  }
-  m_impl->started = true;
-  const std::size_t used =
-      http_parser_execute(&m_impl->parser, &Impl::Settings(), bytes.data(), bytes.size());
-  const http_errno error = HTTP_PARSER_ERRNO(&m_impl->parser);
-  if (!m_impl->head_complete) {
-    m_impl->head_bytes += used;
-    if (m_impl->head_bytes > m_impl->limits.max_head_bytes && !m_impl->fault.has_value()) {
-      m_impl->fault = ReadFault::kHeadTooLarge;
-    }
-  }
-  if (error != HPE_OK && error != HPE_PAUSED && !m_impl->fault.has_value()) {
-    m_impl->fault = FaultOf(error);
-  }
-  if (m_impl->fault.has_value()) {
-    m_impl->complete = false;
+  std::size_t used = 0;
+  while (used < bytes.size() && !m_impl->complete && !m_impl->fault.has_value()) {
+    m_impl->started = true;
+    used += m_impl->Parse(bytes.substr(used));
   }
   return used;
 }
--- a/libs/http/test/test_message_reader.cc
+++ b/libs/http/test/test_message_reader.cc
@@ -119,6 +119,41 @@
   }
 }
 
+// Guards against a caller that waits until its deadline, or gets another response, because a status
+// such as 000 was taken for an interim response.
+SCENARIO("A reader rejects a response without a valid status code") {
+  const std::string fields = "content-length: 2\r\n\r\nok";
+  const auto status_line = [](const std::string& status) {
+    return "HTTP/1.1 " + status + " text\r\n";
+  };
+  for (const std::string status : {"000", "0", "20", "99", "099", "101", "600", "999", "00200",
+                                   "0200", "1000", "2000", "", "-20", "2x0"}) {
+    CAPTURE(status);
+    const std::string response = status_line(status) + fields;
+    MessageReader at_once(MessageKind::kResponse, {});
+    at_once.Read(response + status_line("200") + fields);
+    CHECK(at_once.Fault() == ReadFault::kMalformed);
+    MessageReader byte_by_byte(MessageKind::kResponse, {});
+    ReadByteByByte(byte_by_byte, response);
+    CHECK(byte_by_byte.Fault() == ReadFault::kMalformed);
+    MessageReader after_interim(MessageKind::kResponse, {});
+    after_interim.Read(status_line("103") + "\r\n" + response);
+    CHECK(after_interim.Fault() == ReadFault::kMalformed);
+  }
+  for (const std::string status : {"200", "299", "404", "503", "599"}) {
+    CAPTURE(status);
+    const std::string interim = status_line("100") + "\r\n" + status_line("103") + "\r\n";
+    MessageReader at_once(MessageKind::kResponse, {});
+    at_once.Read(interim + status_line(status) + fields);
+    REQUIRE(at_once.IsComplete());
+    CHECK(at_once.Response().status == std::stoi(status));
+    MessageReader byte_by_byte(MessageKind::kResponse, {});
+    ReadByteByByte(byte_by_byte, interim + status_line(status) + fields);
+    REQUIRE(byte_by_byte.IsComplete());
+    CHECK(byte_by_byte.Response().status == std::stoi(status));
+  }
+}
+
 // Guards against a process that runs out of memory because several peers send bodies without end.
 SCENARIO("Several readers share a limit on the memory for bodies") {
   ReaderLimits limits;
