Reject responses without a valid status code in qh-entry too

Cause: HttpClient reads with h2o's client, which accepts any three digits and skips only 100 to 199 without 101; CallTask forwards the status of a complete response.

Evidence: test_http, "A client rejects a response without a valid status code": 000, 020, 099, 101, 600 and 999 were accepted (0, 20, 00200 and 2000 were not). test_system_whole_answers with a worker that sends 000: the caller's client could not parse the response (6 checks failed); with the change it gets answer_cut, 502, outcome unknown.

Change: the check of MessageReader, 100 to 599 without 101, holds for HttpClient as well; such a call fails as "may have run" and its connection is closed. test_http and test_system_whole_answers pass.

--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -12,6 +12,7 @@
 #include "quetzalhinge/base/enum_table.h"
 #include "quetzalhinge/net/timer.h"
 #include "request_head.h"
+#include "status_code_check.h"
 
 namespace qh::http {
 namespace {
@@ -218,13 +219,18 @@
       return nullptr;
     }
     call.m_stage = CallStage::kResponseStarted;
+    if (!IsValidStatus(status)) {
+      // Returning no callback makes h2o close the connection.
+      call.m_h2o_client = nullptr;
+      call.Fail(ErrorCode::kProtocol, "read response head", "invalid status code", false);
+      return nullptr;
+    }
     call.m_response.status = status;
     for (std::size_t i = 0; i < header_count; ++i) {
       call.m_response.headers.push_back(
           {Lower(*headers[i].name), std::string(headers[i].value.base, headers[i].value.len)});
     }
     if (HasBody(call.m_method, status) && !call.HasBodyLength()) {
-      // Returning no callback makes h2o close the connection.
       call.m_h2o_client = nullptr;
       call.Fail(ErrorCode::kProtocol, "read response head", "response without a length", false);
       return nullptr;
--- a/libs/http/test/test_client_faults.cc
+++ b/libs/http/test/test_client_faults.cc
@@ -48,4 +48,20 @@
   CHECK(std::get<HttpCallFailure>(result).error.code == ErrorCode::kProtocol);
 }
 
+// Guards against a caller that gets a response whose status is no status.
+SCENARIO("A client rejects a response without a valid status code") {
+  net::EventLoop loop;
+  for (const std::string status :
+       {"000", "020", "099", "101", "600", "999", "0", "20", "00200", "2000"}) {
+    CAPTURE(status);
+    const ScriptedPeer worker(loop, "HTTP/1.1 " + status + " text\r\ncontent-length: 2\r\n\r\nok",
+                              false);
+    const auto result = Call(loop, worker);
+    const auto* failure = std::get_if<HttpCallFailure>(&result);
+    CHECK(failure != nullptr);
+    // The request was sent, so it may have run.
+    CHECK((failure == nullptr || failure->stage != CallStage::kNotConnected));
+  }
+}
+
 }  // namespace qh::http
--- a/test/system/test_whole_answers.cc
+++ b/test/system/test_whole_answers.cc
@@ -84,6 +84,11 @@
     write(MakeResponseHead(request, "content-type: text/plain") + text);
     return false;
   }
+  if (path_contains("/status-000")) {
+    // The space separates the status from "HTTP/1.1".
+    std::string response = MakeResponse(request, text, text.size());
+    return write(response.replace(response.find(" 200"), 4, " 000"));
+  }
   if (path_contains("/other-request")) {
     ScriptedRequest other = request;
     other.request_id = "0123456789abcdef";
@@ -152,8 +157,8 @@
   int m_number = 0;
 };
 
-// Guards against a truncated, foreign or late response of a worker that the caller receives as a
-// success.
+// Guards against a truncated, foreign or late response of a worker, or one with status 000, that
+// the caller receives as an answer.
 TEST_CASE("A worker's response is delivered complete or as an error") {
   ScriptedDeployment scripted(62);
 
@@ -170,6 +175,7 @@
                               {"/cut-chunked", "answer_cut"},
                               {"/cut-in-chunk", "answer_cut"},
                               {"/no-length", "answer_cut"},
+                              {"/status-000", "answer_cut"},
                               {"/other-request", "answer_cut"}};
   for (const Row& row : rows) {
     CAPTURE(row.path);
