Limit the memory for all responses that are being read, small ones too

Cause: the budget of 32 MB for bodies left the first 256 KB of each body free, so the sum had no limit but the number of responses in progress, which grows with the workers (8 at each). Heads were not counted. Rejected messages kept their memory until their connection ended, since assigning an empty std::string keeps the buffer of the old one.

Change: MemoryBudget replaces BodyBudget. It counts heads and bodies from the first byte; when it is used up, the largest message gives way, not the newest, so that small responses are still read without a free part. Its call fails at once as "may have run", and its memory is freed. Gauges qh_worker_response_bytes and qh_worker_responses_rejected_for_memory tell this apart from one response that is too large.

The test "Several readers share a limit on the memory for bodies" reads 101 blocks in place of 100: the last reader may now use the whole budget, which 100 blocks fill exactly; all five must still be rejected.

--- a/libs/gateway/include/quetzalhinge/gateway/worker_links.h
+++ b/libs/gateway/include/quetzalhinge/gateway/worker_links.h
@@ -62,6 +62,9 @@
   /** Records what the worker `id` states about itself in `response`: its load and its limit. */
   void RecordResponse(const std::string& id, const http::HttpResponse& response);
 
+  /** Returns the memory of the responses that are being read. */
+  const http::MemoryBudget& ResponseMemory() const noexcept;
+
  private:
   struct Impl;
   std::shared_ptr<Impl> m_impl;
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -297,6 +297,11 @@
     metrics.GaugeOf("qh_configuration_version")
         .Set(static_cast<double>(routes.Configuration().version));
     metrics.GaugeOf("qh_workers").Set(static_cast<double>(registry.All().size()));
+    const http::MemoryBudget& response_memory = worker_links.ResponseMemory();
+    metrics.GaugeOf("qh_worker_response_bytes")
+        .Set(static_cast<double>(response_memory.Reserved()));
+    metrics.GaugeOf("qh_worker_responses_rejected_for_memory")
+        .Set(static_cast<double>(response_memory.RejectedMessages()));
     metrics.GaugeOf("qh_store_lost").Set(store_copy.UnavailableSince().has_value() ? 1 : 0);
     relayed_store.UpdateGauges();
     const http::RefusalCounts& refused = call_server.Refused();
--- a/libs/gateway/src/worker_links.cc
+++ b/libs/gateway/src/worker_links.cc
@@ -23,12 +23,8 @@
 /** Maximum idle connections per worker. The number of connections in use has no limit. */
 constexpr std::size_t kMaxIdleConnections = 8;
 
-/**
- * Memory for the bodies of all responses that are being read: an eighth of the memory of a small
- * entry VM. Each response may have `kFreeBodyBytes` beside that.
- */
-constexpr std::size_t kMaxBodyBytes = 32 * 1024 * 1024;
-constexpr std::size_t kFreeBodyBytes = 256 * 1024;
+/** Memory for all responses that are being read: an eighth of the memory of a small entry VM. */
+constexpr std::size_t kMaxResponseMemory = 32 * 1024 * 1024;
 
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
@@ -49,8 +45,8 @@
   const routes::RouteTable& routes;
   metrics::Counter& probes;
   metrics::Counter& new_connections;
-  std::shared_ptr<http::BodyBudget> body_budget =
-      std::make_shared<http::BodyBudget>(kMaxBodyBytes, kFreeBodyBytes);
+  std::shared_ptr<http::MemoryBudget> response_memory =
+      std::make_shared<http::MemoryBudget>(kMaxResponseMemory);
   std::map<std::string, Link> links;
   /** Connections of the probes on new connections, by the number of the probe. */
   std::map<std::uint64_t, WorkerConnection> separate_probes;
@@ -70,7 +66,7 @@
   std::shared_ptr<http::ClientConnection> OpenConnection(const WorkerRecord& worker) {
     new_connections.Add();
     http::ClientConnectionOptions options;
-    options.limits.body_budget = body_budget;
+    options.limits.memory_budget = response_memory;
     return std::make_shared<http::ClientConnection>(loop, worker.address, options);
   }
 
@@ -266,6 +262,10 @@
   }
 }
 
+const http::MemoryBudget& WorkerLinks::ResponseMemory() const noexcept {
+  return *m_impl->response_memory;
+}
+
 void WorkerLinks::RecordResponse(const std::string& id, const http::HttpResponse& response) {
   m_impl->RecordLoad(id, response);
   const WorkerStatus* worker = m_impl->registry.Find(id);
--- a/libs/http/include/quetzalhinge/http/message_reader.h
+++ b/libs/http/include/quetzalhinge/http/message_reader.h
@@ -1,12 +1,13 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string_view>
 
-#include "quetzalhinge/http/body_budget.h"
 #include "quetzalhinge/http/http_message.h"
+#include "quetzalhinge/http/memory_budget.h"
 
 namespace qh::http {
 
@@ -34,8 +35,8 @@
   std::size_t max_head_bytes = 16 * 1024;
   std::size_t max_head_fields = 128;
   std::size_t max_body_bytes = 64 * 1024 * 1024;
-  /** Limits the bodies of several readers together; null without such a limit. */
-  std::shared_ptr<BodyBudget> body_budget;
+  /** Limits the messages of several readers together; null without such a limit. */
+  std::shared_ptr<MemoryBudget> memory_budget;
 };
 
 /**
@@ -49,6 +50,12 @@
   MessageReader(const MessageReader&) = delete;
   MessageReader& operator=(const MessageReader&) = delete;
 
+  /**
+   * Sets the callback for when the current message is rejected because the memory budget needs its
+   * bytes for others. It runs while another reader reads.
+   */
+  void OnRevoked(std::function<void()> callback);
+
   /** Parses up to the end of the current message and returns the number of consumed bytes. */
   std::size_t Read(std::string_view bytes);
 
--- a/libs/http/src/client_connection.cc
+++ b/libs/http/src/client_connection.cc
@@ -64,6 +64,12 @@
         timer(loop, [this] { OnTimer(); }) {}
 
   void Open() {
+    reader.OnRevoked([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        // Posted, because another connection is reading.
+        self->loop.Post([self] { self->OnReaderFault(); });
+      }
+    });
     tcp = std::make_unique<net::TcpConnection>(loop, peer, *this);
     idle_until = loop.Now() + options.idle_timeout;
   }
@@ -106,7 +112,7 @@
         stage = CallStage::kResponseStarted;
       }
       if (reader.Fault().has_value()) {
-        Fail(ErrorCode::kProtocol, "read response", ToString(*reader.Fault()), false);
+        OnReaderFault();
         return;
       }
       if (!reader.IsComplete()) {
@@ -122,6 +128,13 @@
     }
   }
 
+  /** Fails the call if its response is rejected; no effect on a later call. */
+  void OnReaderFault() {
+    if (reader.Fault().has_value()) {
+      Fail(ErrorCode::kProtocol, "read response", ToString(*reader.Fault()), false);
+    }
+  }
+
   void HandleResponse(bool bytes_follow) {
     HttpResponse response = std::move(reader.Response());
     const bool keep_alive = reader.KeepsConnection();
--- a/libs/http/src/message_reader.cc
+++ b/libs/http/src/message_reader.cc
@@ -62,9 +62,11 @@
   StatusCodeCheck status_code;
   HttpRequest request;
   HttpResponse response;
+  std::unique_ptr<MessageReservation> reservation;
+  std::function<void()> on_revoked;
   std::size_t head_bytes = 0;
-  /** Bytes of the body that are reserved in the budget. */
-  std::size_t reserved_bytes = 0;
+  /** Memory of the fields of the complete head. */
+  std::size_t field_bytes = 0;
   bool is_response_to_head = false;
   bool reading_value = false;
   bool started = false;
@@ -73,41 +75,55 @@
   bool keeps_connection = false;
   std::optional<ReadFault> fault;
 
-  Impl(MessageKind message_kind, const ReaderLimits& reader_limits)
-      : kind(message_kind), limits(reader_limits) {
+  Impl(MessageKind message_kind, const ReaderLimits& reader_limits) : kind(message_kind) {
+    SetLimits(reader_limits);
     Restart();
   }
-  ~Impl() { ReleaseBody(); }
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
-  void ReleaseBody() {
-    if (limits.body_budget != nullptr) {
-      limits.body_budget->Release(std::exchange(reserved_bytes, 0));
-    }
+  void SetLimits(const ReaderLimits& reader_limits) {
+    limits = reader_limits;
+    reservation = std::make_unique<MessageReservation>(limits.memory_budget, [this] { Revoke(); });
   }
 
-  /** Reserves what a body of `size` bytes needs; returns whether the budget allows it. */
-  bool ReserveBody(std::size_t size) {
-    if (limits.body_budget == nullptr) {
-      return true;
+  /** Rejects the message, whose bytes are needed for others. */
+  void Revoke() {
+    Reject(head_complete ? ReadFault::kBodyTooLarge : ReadFault::kHeadTooLarge);
+    if (on_revoked != nullptr) {
+      on_revoked();
     }
-    const std::size_t needed = limits.body_budget->Needed(size);
-    if (needed > reserved_bytes && !limits.body_budget->TryReserve(needed - reserved_bytes)) {
-      return false;
+  }
+
+  /** Rejects the message and frees its memory. */
+  void Reject(ReadFault reason) {
+    fault = reason;
+    complete = false;
+    FreeMessage();
+  }
+
+  void FreeMessage() {
+    // Moved out, because assigning an empty string keeps the memory of the old one.
+    const HttpRequest freed_request = std::exchange(request, {});
+    const HttpResponse freed_response = std::exchange(response, {});
+  }
+
+  std::size_t FieldMemory() {
+    std::size_t bytes = 0;
+    for (const HttpHeader& header : Headers()) {
+      bytes += sizeof(header) + header.name.size() + header.value.size();
     }
-    reserved_bytes = std::max(reserved_bytes, needed);
-    return true;
+    return bytes;
   }
 
   void Restart() {
-    ReleaseBody();
+    reservation->Resize(0);
     http_parser_init(&parser, kind == MessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
     parser.data = this;
     status_code.Restart();
-    request = HttpRequest{};
-    response = HttpResponse{};
+    FreeMessage();
     head_bytes = 0;
+    field_bytes = 0;
     reading_value = false;
     started = false;
     head_complete = false;
@@ -166,6 +182,7 @@
   static int OnHeadComplete(http_parser* parser) {
     Impl& impl = From(parser);
     impl.head_complete = true;
+    impl.field_bytes = impl.FieldMemory();
     impl.response.status = parser->status_code;
     if (impl.kind == MessageKind::kRequest) {
       impl.request.method = http_method_str(static_cast<http_method>(parser->method));
@@ -194,8 +211,10 @@
   static int OnBody(http_parser* parser, const char* bytes, std::size_t size) {
     Impl& impl = From(parser);
     const std::size_t body_bytes = impl.Body().size() + size;
-    if (body_bytes > impl.limits.max_body_bytes || !impl.ReserveBody(body_bytes)) {
-      return impl.Refuse(ReadFault::kBodyTooLarge);
+    if (body_bytes > impl.limits.max_body_bytes ||
+        !impl.reservation->Resize(impl.field_bytes + body_bytes)) {
+      impl.Reject(ReadFault::kBodyTooLarge);
+      return 1;
     }
     impl.Body().append(bytes, size);
     return 0;
@@ -207,7 +226,7 @@
     http_parser_pause(parser, 1);
     if (impl.kind == MessageKind::kResponse && impl.response.status < kFirstFinalStatus) {
       impl.status_code.Restart();
-      impl.response = HttpResponse{};
+      impl.FreeMessage();
       impl.head_complete = false;
       impl.reading_value = false;
       return 0;
@@ -230,8 +249,9 @@
     }
     if (!head_complete) {
       head_bytes += used;
-      if (head_bytes > limits.max_head_bytes && !fault.has_value()) {
-        fault = ReadFault::kHeadTooLarge;
+      if (!fault.has_value() &&
+          (head_bytes > limits.max_head_bytes || !reservation->Resize(head_bytes))) {
+        Reject(ReadFault::kHeadTooLarge);
       }
     }
     if (error != HPE_OK && error != HPE_PAUSED && !fault.has_value()) {
@@ -291,9 +311,9 @@
   m_impl->Restart();
 }
 
-void MessageReader::SetLimits(const ReaderLimits& limits) {
-  m_impl->ReleaseBody();
-  m_impl->limits = limits;
+void MessageReader::SetLimits(const ReaderLimits& limits) { m_impl->SetLimits(limits); }
+void MessageReader::OnRevoked(std::function<void()> callback) {
+  m_impl->on_revoked = std::move(callback);
 }
 bool MessageReader::IsStarted() const noexcept { return m_impl->started; }
 bool MessageReader::IsHeadComplete() const noexcept { return m_impl->head_complete; }
--- a/libs/http/test/test_connections.cc
+++ b/libs/http/test/test_connections.cc
@@ -127,6 +127,33 @@
   }
 }
 
+// Guards against a call that waits for its time-out after its response was rejected in favour of
+// others.
+SCENARIO("A call fails when the memory for its response is needed for others") {
+  net::EventLoop loop;
+  ClientConnectionOptions options;
+  options.limits.memory_budget = std::make_shared<MemoryBudget>(100'000);
+  ScriptedPeer endless(loop, "HTTP/1.1 200 OK\r\n\r\n" + std::string(90'000, 'x'), false);
+  ScriptedPeer sound(
+      loop, "HTTP/1.1 200 OK\r\ncontent-length: 20000\r\n\r\n" + std::string(20'000, 'y'), false);
+  ClientRequest request;
+  request.request = {"GET", "/", {}, ""};
+  request.timeout = 60s;
+  ClientConnection first(loop, endless.Endpoint(), options);
+  ClientConnection second(loop, sound.Endpoint(), options);
+  std::optional<HttpCallResult> first_result;
+  std::optional<HttpCallResult> second_result;
+  first.Start(request, [&](HttpCallResult result) { first_result = std::move(result); });
+  RunUntil(loop, [&] { return options.limits.memory_budget->Reserved() >= 90'000; });
+  second.Start(request, [&](HttpCallResult result) { second_result = std::move(result); });
+  RunUntil(loop, [&] { return first_result.has_value() && second_result.has_value(); });
+  CHECK(std::holds_alternative<HttpResponse>(*second_result));
+  REQUIRE(std::holds_alternative<HttpCallFailure>(*first_result));
+  CHECK(std::get<HttpCallFailure>(*first_result).stage == CallStage::kResponseStarted);
+  CHECK(std::get<HttpCallFailure>(*first_result).error.detail == "body_too_large");
+  CHECK(first.IsUnusable());
+}
+
 SCENARIO("A server detects a disconnect while a request is in progress") {
   net::EventLoop loop;
   std::shared_ptr<ServerExchange> pending;
--- a/libs/http/test/test_message_reader.cc
+++ b/libs/http/test/test_message_reader.cc
@@ -157,24 +157,30 @@
 // Guards against a process that runs out of memory because several peers send bodies without end.
 SCENARIO("Several readers share a limit on the memory for bodies") {
   ReaderLimits limits;
-  limits.body_budget = std::make_shared<BodyBudget>(100'000, 10'000);
+  limits.memory_budget = std::make_shared<MemoryBudget>(100'000);
   const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
   std::vector<std::unique_ptr<MessageReader>> endless;
   for (int i = 0; i < 5; ++i) {
     endless.push_back(std::make_unique<MessageReader>(MessageKind::kResponse, limits));
     endless.back()->Read(head);
   }
-  for (int block = 0; block < 100; ++block) {
+  // The last one may use the whole budget.
+  for (int block = 0; block < 101; ++block) {
     for (const auto& reader : endless) {
       reader->Read(std::string(1000, 'x'));
     }
   }
   THEN("bodies that do not fit are rejected") {
-    CHECK(limits.body_budget->Reserved() <= 100'000);
+    CHECK(limits.memory_budget->Reserved() <= 100'000);
     for (const auto& reader : endless) {
       CHECK(reader->Fault() == ReadFault::kBodyTooLarge);
     }
   }
+  THEN("their memory is freed") {
+    for (const auto& reader : endless) {
+      CHECK(reader->Response().body.capacity() < 100);
+    }
+  }
   THEN("small bodies are still read") {
     MessageReader reader(MessageKind::kResponse, limits);
     reader.Read("HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + std::string(9000, 'x'));
@@ -183,7 +189,48 @@
   THEN("the memory is free again after the messages") {
     endless[0]->Restart();
     endless.erase(endless.begin() + 1, endless.end());
-    CHECK(limits.body_budget->Reserved() == 0);
+    CHECK(limits.memory_budget->Reserved() == 0);
+  }
+}
+
+// Guards against a process that runs out of memory because many peers send without end, each of
+// them little for a long time.
+SCENARIO("Many readers of small messages share a limit on the memory") {
+  constexpr std::size_t kBudget = 100'000;
+  ReaderLimits limits;
+  limits.memory_budget = std::make_shared<MemoryBudget>(kBudget);
+  std::vector<std::unique_ptr<MessageReader>> endless;
+  const auto body_bytes = [&] {
+    std::size_t bytes = 0;
+    for (const auto& reader : endless) {
+      bytes += reader->Response().body.capacity();
+    }
+    return bytes;
+  };
+  int revoked = 0;
+  const std::string start = GENERATE("HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nX: ");
+  for (int i = 0; i < 100; ++i) {
+    endless.push_back(std::make_unique<MessageReader>(MessageKind::kResponse, limits));
+    endless.back()->OnRevoked([&] { ++revoked; });
+    endless.back()->Read(start + std::string(5000, 'x'));
+    CHECK(limits.memory_budget->Reserved() <= kBudget);
+    CHECK(body_bytes() <= 2 * kBudget);
+  }
+  THEN("a message that does not fit is rejected in favour of a smaller one") {
+    const std::size_t rejected_before = limits.memory_budget->RejectedMessages();
+    MessageReader reader(MessageKind::kResponse, limits);
+    reader.Read("HTTP/1.1 200 OK\r\nContent-Length: 4900\r\n\r\n" + std::string(4900, 'x'));
+    CHECK(reader.IsComplete());
+    CHECK(limits.memory_budget->RejectedMessages() > rejected_before);
+    CHECK(revoked == 1);
+  }
+  THEN("a reader whose message was rejected reads the next one") {
+    for (const auto& reader : endless) {
+      reader->Restart();
+    }
+    CHECK(limits.memory_budget->Reserved() == 0);
+    endless.front()->Read("HTTP/1.1 204 x\r\n\r\n");
+    CHECK(endless.front()->IsComplete());
   }
 }
 
