Limit the memory for the responses that qh-entry is reading

Cause: HttpClientOptions::max_response_bytes holds for each response; the earlier postmortem names 4 MB, which is the default of the option, not what WorkerPool sets.

Evidence: test_http, "The calls of several clients share a limit on the memory for responses".

Change: HttpClient takes a MemoryBudget, and WorkerPool gives all its clients one of 32 MB.

--- a/apps/qh-entry/src/worker_pool.cc
+++ b/apps/qh-entry/src/worker_pool.cc
@@ -159,10 +159,15 @@
     http::HttpClientOptions options;
     // Bounds memory use; contracts set lower limits.
     options.max_response_bytes = kMaxResponseBytes;
+    options.memory_budget = response_memory;
     return std::make_unique<http::HttpClient>(loop, endpoint, options);
   }
 
   static constexpr std::size_t kMaxResponseBytes = 64 * 1024 * 1024;
+  /** Memory for all responses that are being read: an eighth of the memory of a small entry VM. */
+  static constexpr std::size_t kMaxResponseMemory = 32 * 1024 * 1024;
+  std::shared_ptr<http::MemoryBudget> response_memory =
+      std::make_shared<http::MemoryBudget>(kMaxResponseMemory);
 
   void ApplyObservation(const std::string& id, const WorkerObservation& observation) {
     if (table.Apply(id, observation, loop.Now())) {
--- a/libs/http/include/quetzalhinge/http/http_client.h
+++ b/libs/http/include/quetzalhinge/http/http_client.h
@@ -9,6 +9,7 @@
 #include "quetzalhinge/base/error.h"
 #include "quetzalhinge/base/ip_endpoint.h"
 #include "quetzalhinge/http/http_message.h"
+#include "quetzalhinge/http/memory_budget.h"
 #include "quetzalhinge/net/event_loop.h"
 
 namespace qh::http {
@@ -51,6 +52,11 @@
    * of more than 16 KB fails it at stage kSent.
    */
   std::size_t max_response_bytes = 4 * 1024 * 1024;
+  /**
+   * Limits the response bodies of several clients together; null without such a limit. A call whose
+   * response gives way to others fails at stage kResponseStarted.
+   */
+  std::shared_ptr<MemoryBudget> memory_budget;
 };
 
 /** Handle of a call in progress. Destroying the handle does not cancel the call. */
--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -151,6 +151,7 @@
         m_head(SerializeRequestHead(request, ToString(m_client->peer), new_connection)),
         m_body(request.body),
         m_callback(std::move(callback)),
+        m_reservation(m_client->options.memory_budget, [this] { FailForMemory(); }),
         m_timer(m_client->loop, [this] { OnTimer(); }) {
     m_buffers[0] = h2o_iovec_init(m_head.data(), m_head.size());
     m_buffers[1] = h2o_iovec_init(m_body.data(), m_body.size());
@@ -259,6 +260,11 @@
     }
     call.m_response.body.append(input->bytes, input->size);
     h2o_buffer_consume(&client->sock->input, input->size);
+    if (!call.m_reservation.Resize(call.m_response.body.size())) {
+      call.m_h2o_client = nullptr;
+      call.FailForMemory();
+      return -1;
+    }
     if (call.m_response.body.size() > call.m_client->options.max_response_bytes) {
       call.m_h2o_client = nullptr;
       call.Fail(ErrorCode::kExhausted, "read response body", "response is longer than allowed",
@@ -297,6 +303,14 @@
     }
   }
 
+  /** Ends the call because its response does not fit into the memory budget. */
+  void FailForMemory() {
+    AbortConnection();
+    // Moved out, because assigning an empty string keeps the memory of the old one.
+    const HttpResponse freed_response = std::exchange(m_response, {});
+    Fail(ErrorCode::kExhausted, "read response body", "no memory for the response", false);
+  }
+
   void Fail(ErrorCode code, const char* step, const char* detail, bool closed_by_peer) {
     Report(HttpCallFailure{Error{code, step, ToString(m_client->peer), detail}, m_stage,
                            closed_by_peer});
@@ -323,6 +337,7 @@
   void End() {
     m_ended = true;
     m_timer.Stop();
+    m_reservation.Resize(0);
     if (m_pool != nullptr) {
       m_client->DestroyLater(std::move(m_pool));
     }
@@ -342,6 +357,7 @@
   std::string m_body;
   std::array<h2o_iovec_t, 2> m_buffers{};
   Callback m_callback;
+  MessageReservation m_reservation;
   net::Timer m_timer;
   TimePoint m_deadline{};
   h2o_http1client_t* m_h2o_client = nullptr;
--- a/libs/http/test/test_client_faults.cc
+++ b/libs/http/test/test_client_faults.cc
@@ -48,6 +48,36 @@
   CHECK(std::get<HttpCallFailure>(result).error.code == ErrorCode::kProtocol);
 }
 
+// Guards against a process that runs out of memory because several peers send bodies without end.
+SCENARIO("The calls of several clients share a limit on the memory for responses") {
+  constexpr std::size_t kBudget = 100'000;
+  net::EventLoop loop;
+  HttpClientOptions options;
+  options.memory_budget = std::make_shared<MemoryBudget>(kBudget);
+  const ScriptedPeer endless(
+      loop, "HTTP/1.1 200 OK\r\ncontent-length: 90000000\r\n\r\n" + std::string(90'000, 'x'),
+      false);
+  const std::string sound_body(20'000, 'y');
+  const ScriptedPeer sound(loop, "HTTP/1.1 200 OK\r\ncontent-length: 20000\r\n\r\n" + sound_body,
+                           false);
+  HttpClient endless_client(loop, endless.Endpoint(), options);
+  HttpClient sound_client(loop, sound.Endpoint(), options);
+  std::optional<HttpCallResult> endless_result;
+  std::optional<HttpCallResult> sound_result;
+  const auto endless_call = endless_client.Start(
+      {"GET", "/", {}, ""}, 60s, [&](HttpCallResult value) { endless_result = std::move(value); });
+  RunUntil(loop, [&] { return options.memory_budget->Reserved() >= 90'000; });
+  const auto sound_call = sound_client.Start(
+      {"GET", "/", {}, ""}, 60s, [&](HttpCallResult value) { sound_result = std::move(value); });
+  RunUntil(loop, [&] { return endless_result.has_value() && sound_result.has_value(); });
+  REQUIRE(std::holds_alternative<HttpResponse>(*sound_result));
+  CHECK(std::get<HttpResponse>(*sound_result).body == sound_body);
+  REQUIRE(std::holds_alternative<HttpCallFailure>(*endless_result));
+  CHECK(std::get<HttpCallFailure>(*endless_result).error.code == ErrorCode::kExhausted);
+  CHECK(std::get<HttpCallFailure>(*endless_result).stage == CallStage::kResponseStarted);
+  CHECK(options.memory_budget->Reserved() == 0);
+}
+
 // Guards against a caller that gets a response whose status is no status.
 SCENARIO("A client rejects a response without a valid status code") {
   net::EventLoop loop;
