Start each step of a planned stop when it is due

This change takes away the part of the margin before SIGKILL that our own code wasted.

Cause: the steps of the stop were checked every 200 ms. The last responses, due after 0.92 of the grace, came up to 200 ms later, and in some phases in the same check as the forced end at 0.95, which leaves no time to send what does not fit into the socket at once. With a grace under 2.5 s they could come after its end.

Change: StopSchedule, a decision without clock or loop, gives the step for a time and the wait until the next one; the process sets a timer for it. The fractions of the grace are the same.

--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -14,6 +14,7 @@
 #include "quetzalhinge/logging/log.h"
 #include "quetzalhinge/net/timer.h"
 #include "revision_watch.h"
+#include "stop_schedule.h"
 
 namespace qh::gateway {
 namespace {
@@ -28,21 +29,6 @@
 /** How long a new process waits for gossip of other VMs before it reads the store itself. */
 constexpr milliseconds kFirstReadDelay{700};
 
-/**
- * Fraction of the stop grace during which new requests are still accepted: callers cache addresses
- * for some time after the address responses no longer contain this VM.
- */
-constexpr double kAcceptGraceFraction = 0.4;
-
-/**
- * Fraction of the stop grace after which requests still in progress get a response, so that there
- * is time to send it before the process ends.
- */
-constexpr double kLastResponsesGraceFraction = 0.92;
-
-/** Fraction of the stop grace after which the process ends even if responses are not sent yet. */
-constexpr double kForcedStopGraceFraction = 0.95;
-
 /** How long callers may cache address responses, unless the settings allow less. */
 constexpr milliseconds kAddressTtl{2000};
 
@@ -124,6 +110,7 @@
   http::ConnectionServer address_server;
   http::ConnectionServer internal_server;
   net::Timer tick;
+  net::Timer stop_timer;
   VmRegistration registration;
   net::Timer first_read_timer;
   RevisionWatch revision_watch;
@@ -162,6 +149,7 @@
         internal_server(loop, InternalLimits(),
                         [this](auto exchange) { HandleInternalRequest(exchange); }),
         tick(loop, [this] { Tick(); }),
+        stop_timer(loop, [this] { ContinueStop(); }),
         registration(
             loop, environment.store, settings.name, settings.internal,
             [this](const std::vector<IpEndpoint>& peers) { gossip.SetListedPeers(peers); }),
@@ -417,24 +405,28 @@
                         {"connections", std::to_string(call_server.OpenConnections())}});
     gossip.SetOwnState(MemberState::kLeaving, "");
     call_server.CloseAfterResponses();
+    ContinueStop();
   }
 
   void ContinueStop() {
     const Duration elapsed = loop.Now() - *stopping_since;
-    if (is_accepting && elapsed > settings.stop_grace * kAcceptGraceFraction) {
+    const StopSchedule schedule(settings.stop_grace);
+    const StopStep step = schedule.StepAt(elapsed);
+    if (is_accepting && step > StopStep::kAccepting) {
       is_accepting = false;
       call_service.RefuseNewCalls();
       call_server.StopAccepting();
       call_server.CloseIdleConnections();
     }
-    if (elapsed > settings.stop_grace * kLastResponsesGraceFraction) {
+    if (step >= StopStep::kResponding) {
       unfinished_requests += call_server.InProgress();
       call_service.RespondBeforeStop();
     }
-    const bool is_over = elapsed > settings.stop_grace * kForcedStopGraceFraction;
     const bool has_responded = call_server.InProgress() == 0 && call_server.QueuedBytes() == 0;
-    if (!is_accepting && (has_responded || is_over)) {
+    if (step == StopStep::kOver || (!is_accepting && has_responded)) {
       EndStop();
+    } else if (const auto wait = schedule.TimeUntilNextStep(elapsed)) {
+      stop_timer.StartOnce(std::chrono::ceil<milliseconds>(*wait));
     }
   }
 
