Name the new parts alike and compute the end of a step in one place

Found when reading the change as a newcomer: MemoryReservation beside MemoryBudget, RespondBeforeStop() in qh-entry as in qh-gateway, comments in the usual terms.

--- a/apps/qh-entry/src/call_service.cc
+++ b/apps/qh-entry/src/call_service.cc
@@ -87,7 +87,7 @@
   task->Begin();
 }
 
-void CallService::EndCallsBeforeStop() {
+void CallService::RespondBeforeStop() {
   SetState(ServiceState::kStopped);
   // Removed first, because the end of a call at a worker would start a call that waits for one.
   // Kept until the end of this function, because the queue owns these calls.
@@ -96,7 +96,7 @@
   const auto open_calls = m_open_calls;
   for (const auto& [key, call] : open_calls) {
     if (const std::shared_ptr<CallTask> task = call.lock()) {
-      task->EndBeforeStop();
+      task->RespondBeforeStop();
     }
   }
 }
--- a/apps/qh-entry/src/call_service.h
+++ b/apps/qh-entry/src/call_service.h
@@ -63,7 +63,7 @@
   std::size_t InProgress() const noexcept { return m_open_calls.size(); }
 
   /** Stops the service and responds to all calls in progress with what is known of them. */
-  void EndCallsBeforeStop();
+  void RespondBeforeStop();
 
   /**
    * If this VM is draining or stopped, adds the header x-qh-refresh and closes the connection after
--- a/apps/qh-entry/src/call_task.cc
+++ b/apps/qh-entry/src/call_task.cc
@@ -394,7 +394,7 @@
   Fail(error);
 }
 
-void CallTask::EndBeforeStop() {
+void CallTask::RespondBeforeStop() {
   // An earlier request with a key that is not resolved yet may have run.
   const bool may_have_run = m_may_have_run || m_resolving_key || !m_running_attempts.empty();
   CancelAttempts();
--- a/apps/qh-entry/src/call_task.h
+++ b/apps/qh-entry/src/call_task.h
@@ -37,7 +37,7 @@
    * Ends a call that is still open when the process stops. The outcome is unknown if a worker may
    * have run the request; otherwise the call is refused.
    */
-  void EndBeforeStop();
+  void RespondBeforeStop();
 
   /** Returns the entry of the call for an AdmissionQueue. */
   limits::QueuedRequest ToQueuedRequest() const;
--- a/apps/qh-entry/src/entry_process.cc
+++ b/apps/qh-entry/src/entry_process.cc
@@ -267,7 +267,7 @@
     logging::LogChange("entry", "forced stop",
                        {{"reason", reason}, {"cut_requests", std::to_string(cut_requests)}});
     caller_server.StopAccepting();
-    calls.EndCallsBeforeStop();
+    calls.RespondBeforeStop();
     ContinueForcedStop();
   }
 
--- a/libs/gateway/src/stop_schedule.cc
+++ b/libs/gateway/src/stop_schedule.cc
@@ -16,11 +16,15 @@
     {StopStep::kResponding, 0.95},
 }};
 
+Duration EndOf(const StepEnd& end, Duration grace) {
+  return std::chrono::duration_cast<Duration>(grace * end.grace_fraction);
+}
+
 }  // namespace
 
 StopStep StopSchedule::StepAt(Duration elapsed) const noexcept {
   for (const StepEnd& end : kStepEnds) {
-    if (elapsed < m_grace * end.grace_fraction) {
+    if (elapsed < EndOf(end, m_grace)) {
       return end.step;
     }
   }
@@ -29,9 +33,8 @@
 
 std::optional<Duration> StopSchedule::TimeUntilNextStep(Duration elapsed) const noexcept {
   for (const StepEnd& end : kStepEnds) {
-    const auto ends_at = std::chrono::duration_cast<Duration>(m_grace * end.grace_fraction);
-    if (elapsed < ends_at) {
-      return ends_at - elapsed;
+    if (elapsed < EndOf(end, m_grace)) {
+      return EndOf(end, m_grace) - elapsed;
     }
   }
   return std::nullopt;
--- a/libs/gateway/test/test_calls.cc
+++ b/libs/gateway/test/test_calls.cc
@@ -114,7 +114,7 @@
     }
   }
   // Guards against a caller that gets a second response of the worker, or none until its deadline,
-  // after one whose status is no status.
+  // after a response with an invalid status code.
   WHEN("a worker sends a response with status 000") {
     fixture.SetBehaviour(Behaviour::kStatusZero);
     const http::HttpResponse response = fixture.Call();
--- a/libs/http/include/quetzalhinge/http/http_client.h
+++ b/libs/http/include/quetzalhinge/http/http_client.h
@@ -54,7 +54,7 @@
   std::size_t max_response_bytes = 4 * 1024 * 1024;
   /**
    * Limits the response bodies of several clients together; null without such a limit. A call whose
-   * response gives way to others fails at stage kResponseStarted.
+   * response is rejected for it fails at stage kResponseStarted.
    */
   std::shared_ptr<MemoryBudget> memory_budget;
 };
--- a/libs/http/include/quetzalhinge/http/memory_budget.h
+++ b/libs/http/include/quetzalhinge/http/memory_budget.h
@@ -7,12 +7,12 @@
 
 namespace qh::http {
 
-class MessageReservation;
+class MemoryReservation;
 
 /**
- * Memory for the messages that several connections are reading. When it is used up, the largest
- * message gives way, so that peers that send without end do not keep small messages from being
- * read.
+ * Limit on the memory for the messages that several connections are reading. When it is used up,
+ * the largest message is rejected, so that peers that send without end do not keep small messages
+ * from being read.
  */
 class MemoryBudget {
  public:
@@ -28,27 +28,27 @@
   std::size_t RejectedMessages() const noexcept { return m_rejected_messages; }
 
  private:
-  friend class MessageReservation;
+  friend class MemoryReservation;
 
   std::size_t m_max_bytes;
   std::size_t m_reserved = 0;
   std::size_t m_rejected_messages = 0;
   /** The reservations that are not empty. */
-  std::set<MessageReservation*> m_reservations;
+  std::set<MemoryReservation*> m_reservations;
 };
 
 /** The bytes of a budget that one message uses. Destroying it returns them. */
-class MessageReservation {
+class MemoryReservation {
  public:
   /**
    * @param budget null for a message whose memory is not limited together with that of others
    * @param on_revoked called within Resize() of another reservation when this one has lost its
    *     bytes; must free the memory of the message
    */
-  MessageReservation(std::shared_ptr<MemoryBudget> budget, std::function<void()> on_revoked);
-  ~MessageReservation();
-  MessageReservation(const MessageReservation&) = delete;
-  MessageReservation& operator=(const MessageReservation&) = delete;
+  MemoryReservation(std::shared_ptr<MemoryBudget> budget, std::function<void()> on_revoked);
+  ~MemoryReservation();
+  MemoryReservation(const MemoryReservation&) = delete;
+  MemoryReservation& operator=(const MemoryReservation&) = delete;
 
   /**
    * Changes the size to `bytes`. Returns false if the budget is used up and no other message is
--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -357,7 +357,7 @@
   std::string m_body;
   std::array<h2o_iovec_t, 2> m_buffers{};
   Callback m_callback;
-  MessageReservation m_reservation;
+  MemoryReservation m_reservation;
   net::Timer m_timer;
   TimePoint m_deadline{};
   h2o_http1client_t* m_h2o_client = nullptr;
--- a/libs/http/src/memory_budget.cc
+++ b/libs/http/src/memory_budget.cc
@@ -5,23 +5,23 @@
 
 namespace qh::http {
 
-MessageReservation::MessageReservation(std::shared_ptr<MemoryBudget> budget,
-                                       std::function<void()> on_revoked)
+MemoryReservation::MemoryReservation(std::shared_ptr<MemoryBudget> budget,
+                                     std::function<void()> on_revoked)
     : m_budget(std::move(budget)), m_on_revoked(std::move(on_revoked)) {}
 
-MessageReservation::~MessageReservation() { SetSize(0); }
+MemoryReservation::~MemoryReservation() { SetSize(0); }
 
-bool MessageReservation::Resize(std::size_t bytes) {
+bool MemoryReservation::Resize(std::size_t bytes) {
   if (m_budget == nullptr) {
     return true;
   }
   SetSize(bytes);
   while (m_budget->m_reserved > m_budget->m_max_bytes) {
-    MessageReservation* const largest =
+    MemoryReservation* const largest =
         *std::max_element(m_budget->m_reservations.begin(), m_budget->m_reservations.end(),
                           [](const auto* a, const auto* b) { return a->m_bytes < b->m_bytes; });
-    // Of messages of the same size, the one that grows gives way.
-    MessageReservation* const rejected = largest->m_bytes > m_bytes ? largest : this;
+    // Of messages of the same size, the one that grows is rejected.
+    MemoryReservation* const rejected = largest->m_bytes > m_bytes ? largest : this;
     ++m_budget->m_rejected_messages;
     rejected->SetSize(0);
     if (rejected == this) {
@@ -32,7 +32,7 @@
   return true;
 }
 
-void MessageReservation::SetSize(std::size_t bytes) {
+void MemoryReservation::SetSize(std::size_t bytes) {
   if (m_budget == nullptr || bytes == m_bytes) {
     return;
   }
--- a/libs/http/src/message_reader.cc
+++ b/libs/http/src/message_reader.cc
@@ -62,7 +62,7 @@
   StatusCodeCheck status_code;
   HttpRequest request;
   HttpResponse response;
-  std::unique_ptr<MessageReservation> reservation;
+  std::unique_ptr<MemoryReservation> reservation;
   std::function<void()> on_revoked;
   std::size_t head_bytes = 0;
   /** Memory of the fields of the complete head. */
@@ -84,7 +84,7 @@
 
   void SetLimits(const ReaderLimits& reader_limits) {
     limits = reader_limits;
-    reservation = std::make_unique<MessageReservation>(limits.memory_budget, [this] { Revoke(); });
+    reservation = std::make_unique<MemoryReservation>(limits.memory_budget, [this] { Revoke(); });
   }
 
   /** Rejects the message, whose bytes are needed for others. */
--- a/libs/http/test/test_client_faults.cc
+++ b/libs/http/test/test_client_faults.cc
@@ -78,7 +78,7 @@
   CHECK(options.memory_budget->Reserved() == 0);
 }
 
-// Guards against a caller that gets a response whose status is no status.
+// Guards against a caller that gets a response with an invalid status code.
 SCENARIO("A client rejects a response without a valid status code") {
   net::EventLoop loop;
   for (const std::string status :
