Read the limits of the process from the settings

Nothing uses them yet: no behaviour changes. Tests: test_gateway, test_vm_settings (range, default).

--- a/libs/gateway/include/quetzalhinge/gateway/gateway_settings.h
+++ b/libs/gateway/include/quetzalhinge/gateway/gateway_settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "quetzalhinge/base/ip_endpoint.h"
+#include "quetzalhinge/limits/process_limits.h"
 #include "quetzalhinge/settings/ini_document.h"
 
 namespace qh::gateway {
@@ -49,6 +50,9 @@
   std::chrono::milliseconds stop_grace{6000};
   /** Time for which a worker may still receive requests after its planned leave is known. */
   std::chrono::milliseconds worker_drain{2000};
+
+  /** Memory and descriptors of this process. */
+  limits::ProcessLimits process_limits;
 };
 
 /** The parsed settings and all problems found in them. */
--- a/libs/gateway/test/test_decisions.cc
+++ b/libs/gateway/test/test_decisions.cc
@@ -133,6 +133,8 @@
   };
   CHECK(problems(with_apply_within("2000ms")) == 0);
   CHECK(problems(with_apply_within("100ms")) == 1);
+  CHECK(problems(good + "[limits]\nmemory_mb = 260\nmax_descriptors = 4100\n") == 0);
+  CHECK(problems(good + "[limits]\nmemory_mb = 8\nmax_descriptors = 100\n") == 2);
   CHECK(problems("[vm]\nname = vm-1\n") > 5);
   CHECK(problems(good + "[gossip2]\n") == 1);
 }
--- a/libs/vm_settings/test/test_entry_vm_settings.cc
+++ b/libs/vm_settings/test/test_entry_vm_settings.cc
@@ -25,6 +25,17 @@
   CHECK(result.settings.confirmation_limit == std::chrono::seconds(4));
 }
 
+TEST_CASE("The limits of the processes are checked") {
+  const auto parse = [](const std::string& limits) {
+    return ParseEntryVmSettings(settings::ParseIni("vm.ini", kComplete + "[limits]\n" + limits));
+  };
+  CHECK(parse("").settings.process_limits.memory_mb == 260);
+  CHECK(parse("").settings.process_limits.max_descriptors == 4100);
+  CHECK(parse("memory_mb = 64\n").settings.process_limits.memory_mb == 64);
+  CHECK(parse("max_descriptors = 400\n").settings.process_limits.max_descriptors == 400);
+  CHECK(parse("memory_mb = 8\nmax_descriptors = 100\n").problems.size() == 2);
+}
+
 TEST_CASE("Five invalid settings are reported as five problems with line numbers") {
   std::string text = kComplete;
   text.replace(text.find("slot = 0"), 8, "slot = 15");
