--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -43,3 +43,16 @@
     set_tests_properties(${name} PROPERTIES RUN_SERIAL TRUE)
   endif()
 endfunction()
+
+# qh_crowd_test(<name> SOURCES <file>... DEPENDS <target>... CASES <tag>...)
+# Declares a Catch2 program and one ctest test, <name>_<tag>, for the test cases of each tag. These
+# tests run alone, because other load would change what a process holds at a time.
+function(qh_crowd_test name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;CASES" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_link_libraries(${name} PRIVATE qh_test_main qh_compile_options ${ARG_DEPENDS})
+  foreach(case IN LISTS ARG_CASES)
+    add_test(NAME ${name}_${case} COMMAND ${name} "[${case}]" --rng-seed 20261204)
+    set_tests_properties(${name}_${case} PROPERTIES TIMEOUT 300 RUN_SERIAL TRUE)
+  endforeach()
+endfunction()
