Keep one copy of a body in all steps of a request

Callers saw: one body of the largest legal size, 64 MB, alone on a VM, could end its process. Cause: the request of the caller, the worker's request, the joined head and body and the write queue each had a copy of their own, and the buffer that was read into doubled when it grew.

Change: http::Body shares its bytes between copies and grows by an eighth with realloc(), which moves the pages of large blocks; TcpConnection::Write() sends a head and a shared body in one system call and keeps the body until it is sent. Responses use the same. Functions that parsed a body as std::string take std::string_view; test_load and the stand-in worker say so where they change or cut a body, with the same checks.

--- a/apps/qh-control/src/operator_api.cc
+++ b/apps/qh-control/src/operator_api.cc
@@ -160,7 +160,7 @@
   }
 
   void Drain(const Exchange& exchange) {
-    const auto body = nlohmann::json::parse(exchange->Request().body, nullptr, false);
+    const auto body = nlohmann::json::parse(exchange->Request().body.Bytes(), nullptr, false);
     if (!body.is_object() || body.value("vm", nlohmann::json()) != context.settings.name) {
       exchange->Respond(ErrorResponse(422, "wrong_vm", "this is VM " + context.settings.name));
       return;
--- a/apps/qh-control/src/operator_json.cc
+++ b/apps/qh-control/src/operator_json.cc
@@ -77,7 +77,7 @@
 
 std::variant<ContractCommand, HttpResponse> ParseCommand(const std::string& method,
                                                          const std::string& customer,
-                                                         const std::string& body) {
+                                                         std::string_view body) {
   try {
     const json request = json::parse(body);
     ContractCommand command = CommandFromJson(customer, request);
--- a/apps/qh-control/src/operator_json.h
+++ b/apps/qh-control/src/operator_json.h
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -24,7 +25,7 @@
 /** Parses the body of PUT or DELETE; returns an error response if it is invalid. */
 std::variant<ContractCommand, http::HttpResponse> ParseCommand(const std::string& method,
                                                                const std::string& customer,
-                                                               const std::string& body);
+                                                               std::string_view body);
 
 /** Converts the result of a command to its HTTP response. */
 http::HttpResponse ToResponse(const CommandResult& result);
--- a/apps/qh-control/test/control_vm.cc
+++ b/apps/qh-control/test/control_vm.cc
@@ -122,7 +122,7 @@
         OperatorResponse operator_response;
         if (const auto* response = std::get_if<http::HttpResponse>(&result)) {
           operator_response.status = response->status;
-          operator_response.body = json::parse(response->body, nullptr, false);
+          operator_response.body = json::parse(response->body.Bytes(), nullptr, false);
         }
         callback(std::move(operator_response));
       });
--- a/apps/qh-control/test/platform_fake.cc
+++ b/apps/qh-control/test/platform_fake.cc
@@ -101,7 +101,7 @@
     return GetRow(path);
   }
   if (path == "/v1/table/transactions") {
-    return Transact(json::parse(request.body));
+    return Transact(json::parse(request.body.Bytes()));
   }
   return Json(404, json::object());
 }
--- a/apps/qh-entry/src/call_request.h
+++ b/apps/qh-entry/src/call_request.h
@@ -34,7 +34,7 @@
    * and idempotency-key.
    */
   http::HttpHeaders headers;
-  std::string body;
+  http::Body body;
   /** Hash of customer, service, method, target and body. */
   std::uint64_t fingerprint = 0;
 };
--- a/apps/qh-entry/src/worker_observations.cc
+++ b/apps/qh-entry/src/worker_observations.cc
@@ -44,7 +44,7 @@
 }
 
 bool IsDrainingResponse(const http::HttpResponse& response) {
-  const auto body = nlohmann::json::parse(response.body, nullptr, false);
+  const auto body = nlohmann::json::parse(response.body.Bytes(), nullptr, false);
   return response.status == kDrainingStatus && body.is_object() && body.contains("state") &&
          body["state"] == "draining";
 }
--- a/apps/qh-entry/test/test_call_request.cc
+++ b/apps/qh-entry/test/test_call_request.cc
@@ -103,7 +103,7 @@
     (OutcomeOf(code) == Outcome::kNotRun ? not_run : unknown).insert(StatusOf(code));
     names.insert(ToString(code));
     const http::HttpResponse response = ToResponse({code, "m\xff", {}}, "id");
-    const auto body = nlohmann::json::parse(response.body);
+    const auto body = nlohmann::json::parse(response.body.Bytes());
     CHECK(body["outcome"] == *http::FindHeader(response.headers, "x-qh-outcome"));
     CHECK(body["code"] == ToString(code));
   }
--- a/apps/qh-load/src/address_cache.cc
+++ b/apps/qh-load/src/address_cache.cc
@@ -81,7 +81,7 @@
   std::vector<CallerAddress> addresses;
   if (response != nullptr && response->status == 200) {
     try {
-      const json body = json::parse(response->body);
+      const json body = json::parse(response->body.Bytes());
       addresses = ParseAddresses(body);
       cached.expires = m_loop.Now() + milliseconds(body.at("ttl_ms").get<std::int64_t>());
     } catch (const json::exception&) {
--- a/apps/qh-load/src/entry_call.cc
+++ b/apps/qh-load/src/entry_call.cc
@@ -44,7 +44,7 @@
 }
 
 void ParseErrorBody(const HttpResponse& response, EntryResponse& parsed) {
-  const auto body = nlohmann::json::parse(response.body, nullptr, false);
+  const auto body = nlohmann::json::parse(response.body.Bytes(), nullptr, false);
   if (!body.is_object() || !body.contains("code") || !body["code"].is_string()) {
     parsed.violation = "error response without a code, status " + std::to_string(response.status);
     return;
--- a/apps/qh-load/src/load_run.cc
+++ b/apps/qh-load/src/load_run.cc
@@ -138,7 +138,7 @@
   void Finish(const http::HttpCallResult& counts_result) {
     standin::ExecutionCounts executions;
     if (const auto* response = std::get_if<http::HttpResponse>(&counts_result)) {
-      const auto body = nlohmann::json::parse(response->body, nullptr, false);
+      const auto body = nlohmann::json::parse(response->body.Bytes(), nullptr, false);
       if (body.is_object() && body.contains("executions")) {
         executions = body["executions"].get<standin::ExecutionCounts>();
         result.has_executions = true;
--- a/apps/qh-load/test/test_load.cc
+++ b/apps/qh-load/test/test_load.cc
@@ -91,7 +91,7 @@
     const std::string id = "request-" + std::to_string(m_next_id++);
     forwarded.headers.push_back({"x-qh-request-id", id});
     if (faults.swaps_responses) {
-      forwarded.body += "of another caller";
+      forwarded.body = std::string(forwarded.body) + "of another caller";
     }
     if (faults.executes_twice) {
       m_worker.Start(forwarded, std::chrono::seconds(30), [](const HttpCallResult&) {});
--- a/apps/qhctl/src/operator_client.cc
+++ b/apps/qhctl/src/operator_client.cc
@@ -22,7 +22,7 @@
 constexpr int kUnavailable = 503;
 
 OperatorResponse ToOperatorResponse(const http::HttpResponse& response, const IpEndpoint& from) {
-  json body = json::parse(response.body, nullptr, false);
+  json body = json::parse(response.body.Bytes(), nullptr, false);
   return {response.status, body.is_discarded() ? json() : std::move(body), from};
 }
 
--- a/libs/gateway/include/quetzalhinge/gateway/row_copy.h
+++ b/libs/gateway/include/quetzalhinge/gateway/row_copy.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "quetzalhinge/base/error.h"
 #include "quetzalhinge/base/time.h"
@@ -75,6 +76,6 @@
  * Decodes the result of EncodeRows(). Errors: kProtocol if `text` is malformed.
  * @param peer name of the sender, for the error
  */
-Result<RelayedRows> DecodeRows(const std::string& peer, const std::string& text);
+Result<RelayedRows> DecodeRows(const std::string& peer, std::string_view text);
 
 }  // namespace qh::gateway
--- a/libs/gateway/src/peer_request_handler.cc
+++ b/libs/gateway/src/peer_request_handler.cc
@@ -31,14 +31,15 @@
 
 }  // namespace
 
-std::optional<RelayPeer> ParseReader(const std::string& body) {
+std::optional<RelayPeer> ParseReader(std::string_view body) {
   const std::size_t blank = body.find(' ');
   if (blank == std::string::npos) {
     return std::nullopt;
   }
   const auto endpoint = ParseIpEndpoint(body.substr(blank + 1));
-  return endpoint.has_value() ? std::optional(RelayPeer{body.substr(0, blank), *endpoint})
-                              : std::nullopt;
+  return endpoint.has_value()
+             ? std::optional(RelayPeer{std::string(body.substr(0, blank)), *endpoint})
+             : std::nullopt;
 }
 
 const TableState& PeerRequestHandler::StateOf(const std::string& table) const {
--- a/libs/gateway/src/peer_request_handler.h
+++ b/libs/gateway/src/peer_request_handler.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "quetzalhinge/http/connection_server.h"
@@ -14,7 +15,7 @@
 /**
  * Parses the body of a kRelayNotReader response; std::nullopt if it names no VM or is malformed.
  */
-std::optional<RelayPeer> ParseReader(const std::string& body);
+std::optional<RelayPeer> ParseReader(std::string_view body);
 
 /** Responds to other VMs' requests for rows: at once, when rows change, or after a time-out. */
 class PeerRequestHandler {
--- a/libs/gateway/src/row_copy.cc
+++ b/libs/gateway/src/row_copy.cc
@@ -111,7 +111,7 @@
   return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-Result<RelayedRows> DecodeRows(const std::string& peer, const std::string& text) {
+Result<RelayedRows> DecodeRows(const std::string& peer, std::string_view text) {
   try {
     const json body = json::parse(text);
     RelayedRows relayed;
--- /dev/null
+++ b/libs/http/include/quetzalhinge/http/body.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace qh::http {
+
+/**
+ * The body of a message. Copies share the bytes, so that a message takes the same memory however
+ * many steps of a request hold it.
+ */
+class Body {
+ public:
+  Body() noexcept = default;
+
+  // Implicit, so that a message can be written as a list of its parts.
+  Body(std::string_view bytes);    // NOLINT(google-explicit-constructor)
+  Body(const std::string& bytes);  // NOLINT(google-explicit-constructor)
+  Body(const char* bytes);         // NOLINT(google-explicit-constructor)
+
+  std::string_view Bytes() const noexcept;
+  operator std::string_view() const noexcept { return Bytes(); }  // NOLINT
+
+  std::size_t size() const noexcept { return Bytes().size(); }
+  bool empty() const noexcept { return Bytes().empty(); }
+
+  /** Returns the number of bytes that are allocated. */
+  std::size_t capacity() const noexcept;
+
+  /** Returns the capacity() that the body will have once it is at least `bytes` long. */
+  std::size_t CapacityFor(std::size_t bytes) const noexcept;
+
+  /** Appends `bytes`. The body must have no copies. */
+  void Append(std::string_view bytes);
+
+  /** Returns an object that keeps Bytes() valid. */
+  std::shared_ptr<const void> Owner() const noexcept { return m_content; }
+
+  /** Compares with another body or with any text. */
+  template <typename Text>
+  friend bool operator==(const Body& body, const Text& text) {
+    return body.Bytes() == std::string_view(text);
+  }
+
+ private:
+  struct Content;
+
+  Content& OwnContent();
+
+  std::shared_ptr<Content> m_content;
+};
+
+}  // namespace qh::http
--- a/libs/http/include/quetzalhinge/http/http_message.h
+++ b/libs/http/include/quetzalhinge/http/http_message.h
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <vector>
 
+#include "quetzalhinge/http/body.h"
+
 namespace qh::http {
 
 /** A header field. The name is in lower case. */
@@ -22,14 +24,14 @@
   /** Request target: path and query, starting with '/'. */
   std::string path;
   HttpHeaders headers;
-  std::string body;
+  Body body;
 };
 
 /** A response with its body. The server adds Content-Length when it sends the response. */
 struct HttpResponse {
   int status = 200;
   HttpHeaders headers;
-  std::string body;
+  Body body;
   /** Whether the server closes the connection after this response. */
   bool close_connection = false;
   /**
--- a/libs/http/src/client_connection.cc
+++ b/libs/http/src/client_connection.cc
@@ -92,7 +92,8 @@
     timer.StartOnce(established ? request.timeout
                                 : std::min(request.timeout, options.connect_timeout));
     const std::string host = request.host.empty() ? ToString(peer) : request.host;
-    tcp->Write(SerializeRequestHead(request.request, host, false) + request.request.body);
+    const Body& body = request.request.body;
+    tcp->Write(SerializeRequestHead(request.request, host, false), {body.Bytes(), body.Owner()});
   }
 
   void OnConnected() override {
--- a/libs/http/src/connection_server.cc
+++ b/libs/http/src/connection_server.cc
@@ -24,7 +24,7 @@
 /** How long a lingering close waits for the peer to close its side. */
 constexpr milliseconds kLingeringCloseTimeout{1000};
 
-std::string Serialize(const HttpResponse& response, bool is_head, bool close) {
+std::string SerializeHead(const HttpResponse& response, bool close) {
   std::string text =
       "HTTP/1.1 " + std::to_string(response.status) + " " + ReasonPhrase(response.status) + "\r\n";
   for (const HttpHeader& header : WithoutHopByHop(response.headers)) {
@@ -33,8 +33,7 @@
   if (response.status != 204 && response.status != 304 && !response.ends_with_connection) {
     text += "content-length: " + std::to_string(response.body.size()) + "\r\n";
   }
-  text += close ? "connection: close\r\n\r\n" : "\r\n";
-  return is_head ? text : text + response.body;
+  return text + (close ? "connection: close\r\n\r\n" : "\r\n");
 }
 
 Refusal RefusalOf(ReadFault fault) {
@@ -317,7 +316,8 @@
   const auto self = shared_from_this();
   m_exchange.reset();
   m_wait_started = m_server.loop.Now();
-  m_tcp->Write(Serialize(response, is_head, response.close_connection));
+  const Body body = is_head ? Body() : response.body;
+  m_tcp->Write(SerializeHead(response, response.close_connection), {body.Bytes(), body.Owner()});
   if (response.close_connection) {
     m_unparsed.clear();
     StartLingeringClose();
--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -154,7 +154,7 @@
         m_reservation(m_client->options.memory_budget, [this] { FailForMemory(); }),
         m_timer(m_client->loop, [this] { OnTimer(); }) {
     m_buffers[0] = h2o_iovec_init(m_head.data(), m_head.size());
-    m_buffers[1] = h2o_iovec_init(m_body.data(), m_body.size());
+    m_buffers[1] = h2o_iovec_init(m_body.Bytes().data(), m_body.size());
   }
 
   void Begin(milliseconds timeout) {
@@ -258,7 +258,7 @@
                 closed_between_chunks ? "closed before the last chunk" : error, true);
       return -1;
     }
-    call.m_response.body.append(input->bytes, input->size);
+    call.m_response.body.Append({input->bytes, input->size});
     h2o_buffer_consume(&client->sock->input, input->size);
     if (!call.m_reservation.Resize(call.m_response.body.size())) {
       call.m_h2o_client = nullptr;
@@ -354,7 +354,7 @@
   std::shared_ptr<ConnectionPool> m_pool;
   std::string m_method;
   std::string m_head;
-  std::string m_body;
+  Body m_body;
   std::array<h2o_iovec_t, 2> m_buffers{};
   Callback m_callback;
   MemoryReservation m_reservation;
--- a/libs/http/src/message_reader.cc
+++ b/libs/http/src/message_reader.cc
@@ -135,7 +135,7 @@
   HttpHeaders& Headers() {
     return kind == MessageKind::kRequest ? request.headers : response.headers;
   }
-  std::string& Body() { return kind == MessageKind::kRequest ? request.body : response.body; }
+  Body& MessageBody() { return kind == MessageKind::kRequest ? request.body : response.body; }
 
   static Impl& From(http_parser* parser) { return *static_cast<Impl*>(parser->data); }
 
@@ -210,13 +210,13 @@
 
   static int OnBody(http_parser* parser, const char* bytes, std::size_t size) {
     Impl& impl = From(parser);
-    const std::size_t body_bytes = impl.Body().size() + size;
+    const std::size_t body_bytes = impl.MessageBody().size() + size;
     if (body_bytes > impl.limits.max_body_bytes ||
         !impl.reservation->Resize(impl.field_bytes + body_bytes)) {
       impl.Reject(ReadFault::kBodyTooLarge);
       return 1;
     }
-    impl.Body().append(bytes, size);
+    impl.MessageBody().Append({bytes, size});
     return 0;
   }
 
--- a/libs/http/test/test_http.cc
+++ b/libs/http/test/test_http.cc
@@ -101,7 +101,7 @@
       const HttpRequest& request = exchange->Request();
       exchange->Respond({201,
                          {{"x-echo", std::string(*FindHeader(request.headers, "x-in"))}},
-                         request.method + request.path + request.body,
+                         request.method + request.path + std::string(request.body),
                          false});
     };
     for (int i = 0; i < 3; ++i) {
--- a/libs/net/include/quetzalhinge/net/tcp_connection.h
+++ b/libs/net/include/quetzalhinge/net/tcp_connection.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "quetzalhinge/base/error.h"
 #include "quetzalhinge/base/ip_endpoint.h"
@@ -44,6 +45,12 @@
   virtual void OnAllWritten() {}
 };
 
+/** Bytes that are not copied, and the object that keeps them valid. */
+struct SharedBytes {
+  std::string_view bytes;
+  std::shared_ptr<const void> owner;
+};
+
 /**
  * A TCP connection on the event loop. TCP keep-alive probes and TCP_USER_TIMEOUT detect within a
  * few seconds that the peer has stopped responding. Destroying the object closes the connection and
@@ -62,7 +69,10 @@
   TcpConnection& operator=(const TcpConnection&) = delete;
 
   /** Sends `bytes`. Queues them until the connection is established and the kernel has room. */
-  void Write(std::string bytes);
+  void Write(std::string bytes) { Write(std::move(bytes), {}); }
+
+  /** Sends `bytes`, then `more`, like Write(). Keeps the owner of `more` until they are sent. */
+  void Write(std::string bytes, SharedBytes more);
 
   /** Closes the sending side after the queued bytes. */
   void FinishWriting();
--- a/libs/net/src/tcp_connection.cc
+++ b/libs/net/src/tcp_connection.cc
@@ -4,8 +4,10 @@
 #include <sys/socket.h>
 #include <uv.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
+#include <vector>
 
 namespace qh::net {
 namespace {
@@ -35,23 +37,37 @@
 }  // namespace
 
 struct TcpConnection::Impl {
+  struct WriteRequest {
+    uv_write_t request{};
+    std::string bytes;
+    SharedBytes more;
+
+    std::size_t Size() const { return bytes.size() + more.bytes.size(); }
+
+    /** Returns the bytes without the first `skipped` of them. */
+    std::array<uv_buf_t, 2> Buffers(std::size_t skipped) {
+      const std::size_t skipped_first = std::min(skipped, bytes.size());
+      const std::size_t skipped_more = skipped - skipped_first;
+      // libuv does not change the bytes that it writes.
+      return {uv_buf_init(bytes.data() + skipped_first,
+                          static_cast<unsigned>(bytes.size() - skipped_first)),
+              uv_buf_init(const_cast<char*>(more.bytes.data()) + skipped_more,
+                          static_cast<unsigned>(more.bytes.size() - skipped_more))};
+    }
+  };
+
   uv_tcp_t handle{};
   uv_connect_t connect{};
   uv_shutdown_t shutdown{};
   TcpObserver* observer = nullptr;
   IpEndpoint peer;
-  std::string queued_before_connect;
+  std::vector<std::unique_ptr<WriteRequest>> queued_before_connect;
   std::size_t queued_bytes = 0;
   bool connected = false;
   bool open = true;
   bool finish_writing = false;
   bool reading = true;
 
-  struct WriteRequest {
-    uv_write_t request{};
-    std::string bytes;
-  };
-
   uv_stream_t* Stream() { return reinterpret_cast<uv_stream_t*>(&handle); }
 
   void ConfigureSocket() {
@@ -81,24 +97,24 @@
     }
   }
 
-  void SendNow(std::string bytes) {
-    uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
-    const int written = queued_bytes == 0 ? uv_try_write(Stream(), &buffer, 1) : 0;
-    if (written == static_cast<int>(bytes.size())) {
+  void SendNow(std::unique_ptr<WriteRequest> write) {
+    const std::size_t size = write->Size();
+    std::array<uv_buf_t, 2> buffers = write->Buffers(0);
+    const unsigned count = write->more.bytes.empty() ? 1 : 2;
+    const int tried = queued_bytes == 0 ? uv_try_write(Stream(), buffers.data(), count) : 0;
+    const auto written = static_cast<std::size_t>(std::max(0, tried));
+    if (written == size) {
       return;
     }
-    if (written > 0) {
-      bytes.erase(0, static_cast<std::size_t>(written));
-    }
-    auto* write = new WriteRequest;
-    write->bytes = std::move(bytes);
-    write->request.data = write;
-    queued_bytes += write->bytes.size();
-    buffer = uv_buf_init(write->bytes.data(), static_cast<unsigned>(write->bytes.size()));
-    const int status = uv_write(&write->request, Stream(), &buffer, 1, OnWritten);
+    buffers = write->Buffers(written);
+    write->request.data = write.get();
+    queued_bytes += size;
+    const int status = uv_write(&write->request, Stream(), buffers.data(), count, OnWritten);
     if (status != 0) {
-      queued_bytes -= write->bytes.size();
-      delete write;
+      queued_bytes -= size;
+    } else {
+      // OnWritten() deletes it.
+      static_cast<void>(write.release());
     }
   }
 
@@ -117,8 +133,8 @@
     }
     impl->connected = true;
     impl->ConfigureSocket();
-    if (!impl->queued_before_connect.empty()) {
-      impl->SendNow(std::exchange(impl->queued_before_connect, std::string()));
+    for (auto& write : std::exchange(impl->queued_before_connect, {})) {
+      impl->SendNow(std::move(write));
     }
     if (impl->finish_writing) {
       impl->FinishNow();
@@ -146,7 +162,7 @@
   static void OnWritten(uv_write_t* request, int status) {
     std::unique_ptr<WriteRequest> write(static_cast<WriteRequest*>(request->data));
     auto* impl = static_cast<Impl*>(request->handle->data);
-    impl->queued_bytes -= write->bytes.size();
+    impl->queued_bytes -= write->Size();
     if (impl->observer == nullptr) {
       return;
     }
@@ -200,12 +216,15 @@
            [](uv_handle_t* handle) { delete static_cast<Impl*>(handle->data); });
 }
 
-void TcpConnection::Write(std::string bytes) {
-  if (!m_impl->connected) {
-    m_impl->queued_before_connect += bytes;
-    return;
+void TcpConnection::Write(std::string bytes, SharedBytes more) {
+  auto write = std::make_unique<Impl::WriteRequest>();
+  write->bytes = std::move(bytes);
+  write->more = std::move(more);
+  if (m_impl->connected) {
+    m_impl->SendNow(std::move(write));
+  } else {
+    m_impl->queued_before_connect.push_back(std::move(write));
   }
-  m_impl->SendNow(std::move(bytes));
 }
 
 void TcpConnection::FinishWriting() {
@@ -236,7 +255,11 @@
 bool TcpConnection::IsOpen() const noexcept { return m_impl->open; }
 
 std::size_t TcpConnection::QueuedBytes() const noexcept {
-  return m_impl->queued_bytes + m_impl->queued_before_connect.size();
+  std::size_t bytes = m_impl->queued_bytes;
+  for (const auto& write : m_impl->queued_before_connect) {
+    bytes += write->Size();
+  }
+  return bytes;
 }
 
 const IpEndpoint& TcpConnection::Peer() const noexcept { return m_impl->peer; }
--- a/libs/platform/src/platform_json.cc
+++ b/libs/platform/src/platform_json.cc
@@ -9,7 +9,7 @@
 
 /** Applies `parse` to the JSON value of `text`; std::nullopt if either step throws. */
 template <typename T, typename Parse>
-std::optional<T> ParseText(const std::string& text, Parse parse) {
+std::optional<T> ParseText(std::string_view text, Parse parse) {
   try {
     return parse(json::parse(text));
   } catch (const json::exception&) {
@@ -46,11 +46,11 @@
 
 }  // namespace
 
-std::optional<TableRow> ParseRow(const std::string& text) {
+std::optional<TableRow> ParseRow(std::string_view text) {
   return ParseText<TableRow>(text, RowFromJson);
 }
 
-std::optional<std::vector<TableRow>> ParseRows(const std::string& text) {
+std::optional<std::vector<TableRow>> ParseRows(std::string_view text) {
   return ParseText<std::vector<TableRow>>(text, [](const json& body) {
     std::vector<TableRow> rows;
     for (const json& row : body.at("rows")) {
@@ -60,19 +60,19 @@
   });
 }
 
-std::optional<TransactionConflict> ParseConflict(const std::string& text) {
+std::optional<TransactionConflict> ParseConflict(std::string_view text) {
   return ParseText<TransactionConflict>(text, [](const json& body) {
     return TransactionConflict{body.at("key").get<std::string>(),
                                body.at("version").get<std::uint64_t>()};
   });
 }
 
-bool IsApplied(const std::string& text) {
+bool IsApplied(std::string_view text) {
   return ParseText<bool>(text, [](const json& body) { return body.at("applied").get<bool>(); })
       .value_or(false);
 }
 
-std::optional<VmList> ParseVmList(const std::string& text) {
+std::optional<VmList> ParseVmList(std::string_view text) {
   return ParseText<VmList>(text, [&](const json& body) {
     VmList list;
     list.bytes = text.size();
--- a/libs/standin/include/quetzalhinge/standin/json_http.h
+++ b/libs/standin/include/quetzalhinge/standin/json_http.h
@@ -2,7 +2,7 @@
 
 #include <functional>
 #include <nlohmann/json.hpp>
-#include <string>
+#include <string_view>
 
 #include "quetzalhinge/http/http_message.h"
 
@@ -16,7 +16,7 @@
  * reason if the text is not a JSON object or `handler` throws nlohmann::json::exception.
  */
 http::HttpResponse WithJsonObject(
-    const std::string& body,
+    std::string_view body,
     const std::function<http::HttpResponse(const nlohmann::json& object)>& handler);
 
 /**
--- a/libs/standin/src/json_http.cc
+++ b/libs/standin/src/json_http.cc
@@ -8,7 +8,7 @@
   return {status, {{"content-type", "application/json"}}, body.dump(), false};
 }
 
-http::HttpResponse WithJsonObject(const std::string& body,
+http::HttpResponse WithJsonObject(std::string_view body,
                                   const std::function<http::HttpResponse(const json&)>& handler) {
   try {
     const json object = json::parse(body);
--- a/libs/standin/src/standin_worker.cc
+++ b/libs/standin/src/standin_worker.cc
@@ -162,7 +162,7 @@
       last_start_after_drain_ms = ToMillis(loop.Now() - *draining_since);
     }
     if (!options.crash_marker.empty() &&
-        request.body.find(options.crash_marker) != std::string::npos) {
+        request.body.Bytes().find(options.crash_marker) != std::string::npos) {
       running.push_back({std::move(exchange), 0});
       Crash("request holds the crash marker");
       return;
@@ -183,9 +183,9 @@
     running.erase(entry);
     const HttpRequest& request = exchange->Request();
     HttpResponse response{200, {{"content-type", "application/json"}}, "", false};
-    response.body =
-        MakeResponseBody({options.name, HeaderOr(request, "x-qh-request-id", ""),
-                          std::string(QueryOf(request.path)), request.body, options.padding_bytes});
+    response.body = MakeResponseBody({options.name, HeaderOr(request, "x-qh-request-id", ""),
+                                      std::string(QueryOf(request.path)), std::string(request.body),
+                                      options.padding_bytes});
     if (faults.cut_answers != 0) {
       faults.cut_answers -= faults.cut_answers > 0 ? 1 : 0;
       RespondTruncated(*exchange, response);
@@ -198,7 +198,8 @@
   void RespondTruncated(HttpExchange& exchange, const HttpResponse& response) const {
     exchange.Abort("HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(response.body.size()) +
                    "\r\nx-qh-request-id: " + HeaderOr(exchange.Request(), "x-qh-request-id", "") +
-                   "\r\n\r\n" + response.body.substr(0, response.body.size() / 2));
+                   "\r\n\r\n" +
+                   std::string(response.body.Bytes().substr(0, response.body.size() / 2)));
   }
 
   void StartQueued() {
--- a/libs/standin/test/test_fault_proxy.cc
+++ b/libs/standin/test/test_fault_proxy.cc
@@ -77,7 +77,7 @@
     caller.Client().Start({"GET", "/", {}, ""}, std::chrono::seconds(30),
                           [&](http::HttpCallResult result) { outcome = std::move(result); });
     REQUIRE(RunUntil(loop, [&] {
-      return json::parse(control.Get("/standin/state").body)["open_connections"]["w"] == 1;
+      return json::parse(control.Get("/standin/state").body.Bytes())["open_connections"]["w"] == 1;
     }));
     loop.RunOnce(milliseconds(20));
     fault({{"cut_open", true}});
--- a/libs/standin/test/test_standin_platform.cc
+++ b/libs/standin/test/test_standin_platform.cc
@@ -32,8 +32,9 @@
     CHECK(peer.Post("/v1/table/transactions", write).status == 200);
     const auto second = peer.Post("/v1/table/transactions", write);
     CHECK(second.status == 409);
-    CHECK(json::parse(second.body) == json{{"applied", false}, {"key", "head"}, {"version", 1}});
-    CHECK(json::parse(peer.Get("/v1/table/rows/head").body) ==
+    CHECK(json::parse(second.body.Bytes()) ==
+          json{{"applied", false}, {"key", "head"}, {"version", 1}});
+    CHECK(json::parse(peer.Get("/v1/table/rows/head").body.Bytes()) ==
           json{{"key", "head"}, {"version", 1}, {"value", {{"revision", 1}}}});
   }
   SECTION("no write of a transaction is applied if one condition fails") {
@@ -48,7 +49,7 @@
       peer.Post("/v1/table/transactions", Transaction(key, 0, key));
     }
     const json rows =
-        json::parse(peer.Get("/v1/table/rows?prefix=log%2F&after=log/1&limit=1").body);
+        json::parse(peer.Get("/v1/table/rows?prefix=log%2F&after=log/1&limit=1").body.Bytes());
     REQUIRE(rows["rows"].size() == 1);
     CHECK(rows["rows"][0]["key"] == "log/2");
     CHECK(peer.Get("/v1/table/rows/log%2F3").status == 200);
@@ -80,15 +81,15 @@
     peer.Post("/standin/vms", {{"state", {{"jb-1", "leaving"}}},
                                {"remove", {"jb-2"}},
                                {"add", {ToJson(MakeVm("jb-3"))}}});
-    const json list = json::parse(peer.Get("/v1/vms").body)["vms"];
+    const json list = json::parse(peer.Get("/v1/vms").body.Bytes())["vms"];
     REQUIRE(list.size() == 2);
     CHECK(list[0]["state"] == "leaving");
     CHECK(list[1]["name"] == "jb-3");
     peer.Post("/standin/faults", {{"frozen_vm_list", true}});
     peer.Post("/standin/vms", {{"remove", {"jb-1"}}});
-    CHECK(json::parse(peer.Get("/v1/vms").body)["vms"].size() == 2);
+    CHECK(json::parse(peer.Get("/v1/vms").body.Bytes())["vms"].size() == 2);
     peer.Post("/standin/faults", {{"frozen_vm_list", false}});
-    CHECK(json::parse(peer.Get("/v1/vms").body)["vms"].size() == 1);
+    CHECK(json::parse(peer.Get("/v1/vms").body.Bytes())["vms"].size() == 1);
   }
   SECTION("a malformed control request is refused and has no effect") {
     CHECK(peer.Post("/standin/faults", {{"down", "yes"}}).status == 400);
@@ -104,7 +105,8 @@
   TestPeer peer(loop, platform.LocalEndpoint());
   peer.Post("/standin/vms", {{"remove", {"jb-1"}}});
   const TimePoint removed = loop.Now();
-  REQUIRE(RunUntil(loop, [&] { return json::parse(peer.Get("/v1/vms").body)["vms"].empty(); }));
+  REQUIRE(
+      RunUntil(loop, [&] { return json::parse(peer.Get("/v1/vms").body.Bytes())["vms"].empty(); }));
   // Only a lower bound can be checked on a busy machine. It is below the lag of 300 ms, because
   // part of the lag passes before the response to the POST arrives.
   CHECK(loop.Now() - removed >= std::chrono::milliseconds(100));
--- a/libs/standin/test/test_standin_worker.cc
+++ b/libs/standin/test/test_standin_worker.cc
@@ -43,7 +43,7 @@
                                               [](const http::HttpCallResult&) {});
   }
 
-  json State() { return json::parse(peer.Get("/standin/state").body); }
+  json State() { return json::parse(peer.Get("/standin/state").body.Bytes()); }
 
   http::HttpResponse Answer(const http::HttpRequest& request) {
     auto result = peer.Call(request);
@@ -61,7 +61,7 @@
   CHECK(ValueOf(CheckResponseBody(response.body, "call=id-1", "order")) == "id-1");
   CHECK_FALSE(IsOk(CheckResponseBody(response.body, "call=id-1", "other order")));
   CHECK_FALSE(IsOk(CheckResponseBody(response.body, "call=id-2", "order")));
-  CHECK_FALSE(IsOk(CheckResponseBody(response.body.substr(0, 99), "call=id-1", "order")));
+  CHECK_FALSE(IsOk(CheckResponseBody(response.body.Bytes().substr(0, 99), "call=id-1", "order")));
 }
 
 TEST_CASE("Executions are counted by key or else request id, and summed over all workers") {
@@ -72,8 +72,8 @@
   pair.Answer(keyed);
   pair.Answer(Work("id-2"));
   const json expected{{"executions", {{"k", 2}, {"id-2", 1}}}};
-  CHECK(json::parse(pair.peer.Get("/standin/executions").body) == expected);
-  CHECK(json::parse(pair.control.Get("/standin/executions").body) == expected);
+  CHECK(json::parse(pair.peer.Get("/standin/executions").body.Bytes()) == expected);
+  CHECK(json::parse(pair.control.Get("/standin/executions").body.Bytes()) == expected);
 }
 
 TEST_CASE("A worker has a bounded number of slots and waiting requests") {
