Limit the memory for all requests of qh-gateway, from the first byte to the last copy

Callers saw: a VM that ends with all requests on it, because other clients send many large bodies at once and stop just short of their end, whole, in pieces, in large chunks or chunks of one byte, without end, or complete for slow workers; thousands of long heads do the same. Cause: a request had a limit, all requests together had none, and the budget of 32 MB for workers' responses ended with the reading of each.

Change: one MemoryBudget of the process for requests and responses. A message reserves what it allocates, while it is read and, complete, until the last copy of its body is gone (caller's request, call, worker's request, write queues). If it is used up, the largest message that is still being read gives way: a request gets 503 with retry-after, which is true, since it was not passed on; responses as before. The buffers of a connection are freed when they are empty, and hold at most 4 KB of pipelined requests and one read (64 KB before).

--- a/apps/qh-entry/src/call_service.cc
+++ b/apps/qh-entry/src/call_service.cc
@@ -11,6 +11,11 @@
 namespace qh::entry {
 namespace {
 
+using std::chrono::milliseconds;
+
+/** Pause before a request for which there was no memory is sent again; other VMs may have some. */
+constexpr milliseconds kMemoryRetryAfter{250};
+
 CallError ToCallError(http::Refusal refusal) {
   switch (refusal) {
     case http::Refusal::kAmbiguousFraming:
@@ -22,14 +27,15 @@
       return {CallErrorCode::kBodyTooLarge, "the body is longer than this VM takes", {}};
     case http::Refusal::kTimedOut:
       return {CallErrorCode::kRequestTimeout, "the request was not sent in time", {}};
+    case http::Refusal::kNoMemory:
+      return {CallErrorCode::kOverloaded, "this VM has no memory for the request now",
+              kMemoryRetryAfter};
     case http::Refusal::kMalformed:
       break;
   }
   return {CallErrorCode::kMalformedRequest, "the request is not HTTP/1.1", {}};
 }
 
-using std::chrono::milliseconds;
-
 /** Interval of the check for waiting calls that can no longer meet their deadline. */
 constexpr milliseconds kExpiryInterval{10};
 
--- a/libs/gateway/include/quetzalhinge/gateway/worker_links.h
+++ b/libs/gateway/include/quetzalhinge/gateway/worker_links.h
@@ -33,10 +33,13 @@
   /** Receives the result of a probe: whether the worker may receive requests. */
   using ProbeCallback = std::function<void(bool is_healthy)>;
 
-  /** All arguments must outlive the links. */
+  /**
+   * All references must outlive the links.
+   * @param message_memory limits the memory for responses
+   */
   WorkerLinks(net::EventLoop& loop, metrics::MetricsRegistry& metrics, const CallHeaders& headers,
               const RecordDecoder& decoder, dispatch::WorkerRegistry& registry,
-              const routes::RouteTable& routes);
+              const routes::RouteTable& routes, std::shared_ptr<http::MemoryBudget> message_memory);
   ~WorkerLinks();
   WorkerLinks(const WorkerLinks&) = delete;
   WorkerLinks& operator=(const WorkerLinks&) = delete;
@@ -62,9 +65,6 @@
   /** Records what the worker `id` states about itself in `response`: its load and its limit. */
   void RecordResponse(const std::string& id, const http::HttpResponse& response);
 
-  /** Returns the memory of the responses that are being read. */
-  const http::MemoryBudget& ResponseMemory() const noexcept;
-
  private:
   struct Impl;
   std::shared_ptr<Impl> m_impl;
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -13,6 +13,8 @@
 #include "quetzalhinge/gossip/gossip_task.h"
 #include "quetzalhinge/logging/log.h"
 #include "quetzalhinge/net/timer.h"
+#include "quetzalhinge/overload/overload_monitor.h"
+#include "quetzalhinge/overload/process_capacity.h"
 #include "revision_watch.h"
 #include "stop_schedule.h"
 
@@ -60,9 +62,10 @@
 constexpr double kGossipOwnZoneShare = 0.75;
 
 /** Limits for internal requests (other VMs, metrics, readiness, addresses), which are small. */
-http::ConnectionLimits InternalLimits() {
+http::ConnectionLimits InternalLimits(const std::shared_ptr<http::MemoryBudget>& message_memory) {
   http::ConnectionLimits limits;
   limits.message.max_body_bytes = 64 * 1024;
+  limits.message.memory_budget = message_memory;
   return limits;
 }
 
@@ -93,6 +96,9 @@
   GatewayEnvironment environment;
   RandomGenerator random = MakeSeededGenerator();
   metrics::MetricsRegistry metrics;
+  overload::ProcessCapacity capacity;
+  std::shared_ptr<http::MemoryBudget> message_memory;
+  overload::OverloadMonitor overload_monitor;
   routes::RouteTable routes;
   dispatch::WorkerRegistry registry;
   dispatch::WorkerPicker picker;
@@ -128,7 +134,11 @@
       : loop(event_loop),
         settings(gateway_settings),
         environment(gateway_environment),
-        worker_links(loop, metrics, environment.headers, environment.decoder, registry, routes),
+        capacity(overload::CapacityOf(settings.process_limits)),
+        message_memory(std::make_shared<http::MemoryBudget>(capacity.messages)),
+        overload_monitor(metrics, message_memory),
+        worker_links(loop, metrics, environment.headers, environment.decoder, registry, routes,
+                     message_memory),
         limit_watch(loop, registry, worker_links, settings.name),
         gossip(loop, random, metrics, GossipOptionsOf(settings), *this),
         crash_watch(loop, worker_links,
@@ -141,12 +151,13 @@
         relayed_store(loop, metrics, environment.store, settings.name, settings.apply_within),
         store_copy(loop, random, metrics, relayed_store, environment.layout, environment.decoder,
                    routes, registry, {settings.worker_drain, settings.apply_within}, *this),
-        call_server(loop, {}, [this](auto exchange) { call_service.Handle(std::move(exchange)); }),
-        ready_server(loop, InternalLimits(),
+        call_server(loop, CallerLimits({}),
+                    [this](auto exchange) { call_service.Handle(std::move(exchange)); }),
+        ready_server(loop, InternalLimits(message_memory),
                      [this](auto exchange) { HandleReadinessRequest(*exchange); }),
-        address_server(loop, InternalLimits(),
+        address_server(loop, InternalLimits(message_memory),
                        [this](auto exchange) { HandleAddressRequest(*exchange); }),
-        internal_server(loop, InternalLimits(),
+        internal_server(loop, InternalLimits(message_memory),
                         [this](auto exchange) { HandleInternalRequest(exchange); }),
         tick(loop, [this] { Tick(); }),
         stop_timer(loop, [this] { ContinueStop(); }),
@@ -231,6 +242,12 @@
     }
   }
 
+  /** Returns `limits` with what follows from the capacity of the process. */
+  http::ConnectionLimits CallerLimits(http::ConnectionLimits limits) const {
+    limits.message.memory_budget = message_memory;
+    return limits;
+  }
+
   // HTTP requests other than calls
 
   bool IsReady() const { return routes.HasConfiguration() && !stopping_since.has_value(); }
@@ -285,11 +302,7 @@
     metrics.GaugeOf("qh_configuration_version")
         .Set(static_cast<double>(routes.Configuration().version));
     metrics.GaugeOf("qh_workers").Set(static_cast<double>(registry.All().size()));
-    const http::MemoryBudget& response_memory = worker_links.ResponseMemory();
-    metrics.GaugeOf("qh_worker_response_bytes")
-        .Set(static_cast<double>(response_memory.Reserved()));
-    metrics.GaugeOf("qh_worker_responses_rejected_for_memory")
-        .Set(static_cast<double>(response_memory.RejectedMessages()));
+    overload_monitor.Update(loop.Now());
     metrics.GaugeOf("qh_store_lost").Set(store_copy.UnavailableSince().has_value() ? 1 : 0);
     relayed_store.UpdateGauges();
     const http::RefusalCounts& refused = call_server.Refused();
@@ -297,6 +310,7 @@
     metrics.GaugeOf("qh_refused_head_too_large").Set(static_cast<double>(refused.head_too_large));
     metrics.GaugeOf("qh_refused_body_too_large").Set(static_cast<double>(refused.body_too_large));
     metrics.GaugeOf("qh_refused_timed_out").Set(static_cast<double>(refused.timed_out));
+    metrics.GaugeOf("qh_refused_no_memory").Set(static_cast<double>(refused.no_memory));
   }
 
   // StoreCopyObserver
@@ -308,7 +322,7 @@
     connection_limits.message.max_body_bytes = limits.max_body_bytes;
     connection_limits.head_timeout = limits.header_timeout;
     connection_limits.idle_timeout = limits.idle_timeout;
-    call_server.SetLimits(connection_limits);
+    call_server.SetLimits(CallerLimits(connection_limits));
     if (IsReady()) {
       gossip.SetOwnState(MemberState::kLive, "");
     }
@@ -393,6 +407,7 @@
     store_copy.Tick();
     relayed_store.Tick();
     limit_watch.Tick();
+    overload_monitor.Update(loop.Now());
     if (stopping_since.has_value()) {
       ContinueStop();
     }
--- a/libs/gateway/src/worker_links.cc
+++ b/libs/gateway/src/worker_links.cc
@@ -23,9 +23,6 @@
 /** Maximum idle connections per worker. The number of connections in use has no limit. */
 constexpr std::size_t kMaxIdleConnections = 8;
 
-/** Memory for all responses that are being read: an eighth of the memory of a small entry VM. */
-constexpr std::size_t kMaxResponseMemory = 32 * 1024 * 1024;
-
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 
@@ -45,8 +42,7 @@
   const routes::RouteTable& routes;
   metrics::Counter& probes;
   metrics::Counter& new_connections;
-  std::shared_ptr<http::MemoryBudget> response_memory =
-      std::make_shared<http::MemoryBudget>(kMaxResponseMemory);
+  std::shared_ptr<http::MemoryBudget> message_memory;
   std::map<std::string, Link> links;
   /** Connections of the probes on new connections, by the number of the probe. */
   std::map<std::uint64_t, WorkerConnection> separate_probes;
@@ -54,19 +50,21 @@
 
   Impl(net::EventLoop& event_loop, metrics::MetricsRegistry& metrics,
        const CallHeaders& call_headers, const RecordDecoder& record_decoder,
-       dispatch::WorkerRegistry& workers, const routes::RouteTable& route_table)
+       dispatch::WorkerRegistry& workers, const routes::RouteTable& route_table,
+       std::shared_ptr<http::MemoryBudget> memory)
       : loop(event_loop),
         headers(call_headers),
         decoder(record_decoder),
         registry(workers),
         routes(route_table),
         probes(metrics.CounterOf("qh_worker_probes_total")),
-        new_connections(metrics.CounterOf("qh_worker_connections_opened_total")) {}
+        new_connections(metrics.CounterOf("qh_worker_connections_opened_total")),
+        message_memory(std::move(memory)) {}
 
   std::shared_ptr<http::ClientConnection> OpenConnection(const WorkerRecord& worker) {
     new_connections.Add();
     http::ClientConnectionOptions options;
-    options.limits.memory_budget = response_memory;
+    options.limits.memory_budget = message_memory;
     return std::make_shared<http::ClientConnection>(loop, worker.address, options);
   }
 
@@ -209,8 +207,10 @@
 
 WorkerLinks::WorkerLinks(net::EventLoop& loop, metrics::MetricsRegistry& metrics,
                          const CallHeaders& headers, const RecordDecoder& decoder,
-                         dispatch::WorkerRegistry& registry, const routes::RouteTable& routes)
-    : m_impl(std::make_shared<Impl>(loop, metrics, headers, decoder, registry, routes)) {}
+                         dispatch::WorkerRegistry& registry, const routes::RouteTable& routes,
+                         std::shared_ptr<http::MemoryBudget> message_memory)
+    : m_impl(std::make_shared<Impl>(loop, metrics, headers, decoder, registry, routes,
+                                    std::move(message_memory))) {}
 WorkerLinks::~WorkerLinks() = default;
 
 void WorkerLinks::Probe(const std::string& id, ProbeCallback callback) {
@@ -262,10 +262,6 @@
   }
 }
 
-const http::MemoryBudget& WorkerLinks::ResponseMemory() const noexcept {
-  return *m_impl->response_memory;
-}
-
 void WorkerLinks::RecordResponse(const std::string& id, const http::HttpResponse& response) {
   m_impl->RecordLoad(id, response);
   const WorkerStatus* worker = m_impl->registry.Find(id);
--- a/libs/gateway/test/call_fixture.h
+++ b/libs/gateway/test/call_fixture.h
@@ -15,6 +15,8 @@
 
 namespace qh::gateway {
 
+constexpr std::size_t kMessageMemory = 32 * 1024 * 1024;
+
 using namespace std::chrono_literals;
 
 inline CallHeaders Names() {
@@ -209,7 +211,13 @@
   routes::RouteTable routes;
   dispatch::WorkerRegistry registry;
   dispatch::WorkerPicker picker;
-  WorkerLinks worker_links{loop, metrics, headers, decoder, registry, routes};
+  WorkerLinks worker_links{loop,
+                           metrics,
+                           headers,
+                           decoder,
+                           registry,
+                           routes,
+                           std::make_shared<http::MemoryBudget>(kMessageMemory)};
   std::vector<membership::Notice> notices;
   CrashWatch crash_watch{loop, worker_links,
                          [this](const membership::Notice& notice) { notices.push_back(notice); }};
--- a/libs/http/include/quetzalhinge/http/body.h
+++ b/libs/http/include/quetzalhinge/http/body.h
@@ -35,6 +35,9 @@
   /** Appends `bytes`. The body must have no copies. */
   void Append(std::string_view bytes);
 
+  /** Keeps `object` as long as any copy of the body exists. The body must have no copies. */
+  void Keep(std::shared_ptr<const void> object);
+
   /** Returns an object that keeps Bytes() valid. */
   std::shared_ptr<const void> Owner() const noexcept { return m_content; }
 
--- a/libs/http/include/quetzalhinge/http/connection_server.h
+++ b/libs/http/include/quetzalhinge/http/connection_server.h
@@ -48,7 +48,15 @@
 };
 
 /** Why the server rejects a request without calling the handler. */
-enum class Refusal { kMalformed, kAmbiguousFraming, kHeadTooLarge, kBodyTooLarge, kTimedOut };
+enum class Refusal {
+  kMalformed,
+  kAmbiguousFraming,
+  kHeadTooLarge,
+  kBodyTooLarge,
+  kTimedOut,
+  /** The memory for messages is used up. The request may succeed later or at another VM. */
+  kNoMemory,
+};
 
 /** Returns the HTTP status code for `refusal`. */
 int StatusOf(Refusal refusal) noexcept;
@@ -60,6 +68,7 @@
   std::size_t head_too_large = 0;
   std::size_t body_too_large = 0;
   std::size_t timed_out = 0;
+  std::size_t no_memory = 0;
 };
 
 /**
--- a/libs/http/include/quetzalhinge/http/http_message.h
+++ b/libs/http/include/quetzalhinge/http/http_message.h
@@ -9,6 +9,9 @@
 
 namespace qh::http {
 
+/** Requests go from the client to the server, responses back. */
+enum class MessageKind { kRequest, kResponse };
+
 /** A header field. The name is in lower case. */
 struct HttpHeader {
   std::string name;
--- a/libs/http/include/quetzalhinge/http/message_reader.h
+++ b/libs/http/include/quetzalhinge/http/message_reader.h
@@ -11,9 +11,6 @@
 
 namespace qh::http {
 
-/** The kind of messages that a MessageReader reads. */
-enum class MessageKind { kRequest, kResponse };
-
 /** Why a message is rejected. */
 enum class ReadFault {
   kMalformed,
@@ -22,6 +19,11 @@
   /** The head has too many bytes or too many fields. */
   kHeadTooLarge,
   kBodyTooLarge,
+  /**
+   * There is no memory for the request now. A response that is rejected for this reason counts as
+   * too large.
+   */
+  kNoMemory,
   /** The connection closed before the message was complete. */
   kCutShort,
 };
@@ -35,7 +37,10 @@
   std::size_t max_head_bytes = 16 * 1024;
   std::size_t max_head_fields = 128;
   std::size_t max_body_bytes = 64 * 1024 * 1024;
-  /** Limits the messages of several readers together; null without such a limit. */
+  /**
+   * Limits the messages of several readers together, from the first byte of a message to the end of
+   * the last copy of its body; null without such a limit.
+   */
   std::shared_ptr<MemoryBudget> memory_budget;
 };
 
--- a/libs/http/src/body.cc
+++ b/libs/http/src/body.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <new>
+#include <utility>
 
 namespace qh::http {
 namespace {
@@ -17,6 +18,7 @@
   char* bytes = nullptr;
   std::size_t size = 0;
   std::size_t capacity = 0;
+  std::shared_ptr<const void> kept;
 
   Content() = default;
   ~Content() { std::free(bytes); }
@@ -70,6 +72,8 @@
   content.size += bytes.size();
 }
 
+void Body::Keep(std::shared_ptr<const void> object) { OwnContent().kept = std::move(object); }
+
 Body::Content& Body::OwnContent() {
   if (m_content == nullptr) {
     m_content = std::make_shared<Content>();
--- a/libs/http/src/connection_server.cc
+++ b/libs/http/src/connection_server.cc
@@ -19,7 +19,10 @@
 constexpr milliseconds kSweepInterval{250};
 
 /** Buffered bytes of pipelined requests above which reading pauses until the next response. */
-constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+constexpr std::size_t kMaxPipelinedBytes = 4 * 1024;
+
+/** Value of retry-after when the memory is used up; other VMs may have some at once. */
+constexpr const char* kRetryAfterSeconds = "0.25";
 
 /** How long a lingering close waits for the peer to close its side. */
 constexpr milliseconds kLingeringCloseTimeout{1000};
@@ -44,6 +47,8 @@
       return Refusal::kBodyTooLarge;
     case ReadFault::kAmbiguousFraming:
       return Refusal::kAmbiguousFraming;
+    case ReadFault::kNoMemory:
+      return Refusal::kNoMemory;
     case ReadFault::kMalformed:
     case ReadFault::kCutShort:
       break;
@@ -62,6 +67,9 @@
     case Refusal::kTimedOut:
       ++refused.timed_out;
       break;
+    case Refusal::kNoMemory:
+      ++refused.no_memory;
+      break;
     case Refusal::kMalformed:
     case Refusal::kAmbiguousFraming:
       ++refused.malformed;
@@ -79,6 +87,8 @@
       return 413;
     case Refusal::kTimedOut:
       return 408;
+    case Refusal::kNoMemory:
+      return 503;
     case Refusal::kMalformed:
     case Refusal::kAmbiguousFraming:
       break;
@@ -121,6 +131,16 @@
         m_tcp(std::make_unique<net::TcpConnection>(server.loop, listener, *this)),
         m_wait_started(server.loop.Now()) {}
 
+  /** Completes the set-up, which needs the shared pointer to this object. */
+  void Start() {
+    m_reader.OnRevoked([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        // Posted, because another connection is reading.
+        self->m_server.loop.Post([self] { self->RefuseFaultyRequest(); });
+      }
+    });
+  }
+
   bool IsOpen() const { return m_tcp != nullptr && m_tcp->IsOpen(); }
   bool IsIdle() const { return m_exchange.expired() && !m_lingering && !m_reader.IsStarted(); }
   const IpEndpoint& Peer() const { return m_tcp->Peer(); }
@@ -152,9 +172,23 @@
   }
 
  private:
-  void ParseRequests();
+  /** Reads requests from `bytes` as long as MayReadRequest(); returns the bytes it has used. */
+  std::size_t ParseRequests(std::string_view bytes);
+
+  void ParseBufferedRequests();
   void DispatchRequest();
   void Refuse(Refusal refusal);
+
+  /** Refuses the request that is being read if it was rejected. */
+  void RefuseFaultyRequest() {
+    if (m_reader.Fault().has_value() && !m_lingering && m_tcp != nullptr) {
+      Refuse(RefusalOf(*m_reader.Fault()));
+    }
+  }
+
+  /** Returns whether the next request may be read. */
+  bool MayReadRequest() const { return m_exchange.expired() && !m_lingering && m_tcp != nullptr; }
+
   void SendContinueIfExpected();
 
   Impl& m_server;
@@ -168,7 +202,7 @@
   TimePoint m_wait_started;
   bool m_continue_sent = false;
   bool m_lingering = false;
-  /** Prevents re-entry into ParseRequests(). */
+  /** Whether ParseRequests() runs, which goes on with the next request itself. */
   bool m_parsing = false;
 };
 
@@ -250,22 +284,25 @@
   if (begins_request || m_reader.IsHeadComplete()) {
     m_wait_started = m_server.loop.Now();
   }
+  if (m_unparsed.empty()) {
+    bytes.remove_prefix(ParseRequests(bytes));
+  }
+  if (m_lingering || m_tcp == nullptr) {
+    return;
+  }
   m_unparsed.append(bytes);
-  ParseRequests();
-  if (!m_exchange.expired() && m_unparsed.size() > kMaxPipelinedBytes && m_tcp != nullptr) {
+  if (!m_exchange.expired() && m_unparsed.size() > kMaxPipelinedBytes) {
     m_tcp->SetReading(false);
   }
 }
 
-void ConnectionServer::Impl::Connection::ParseRequests() {
-  if (m_parsing) {
-    return;
-  }
+std::size_t ConnectionServer::Impl::Connection::ParseRequests(std::string_view bytes) {
+  std::size_t used = 0;
   m_parsing = true;
-  while (!m_unparsed.empty() && m_exchange.expired() && !m_lingering && m_tcp != nullptr) {
-    m_unparsed.erase(0, m_reader.Read(m_unparsed));
+  while (used < bytes.size() && MayReadRequest()) {
+    used += m_reader.Read(bytes.substr(used));
     if (m_reader.Fault().has_value()) {
-      Refuse(RefusalOf(*m_reader.Fault()));
+      RefuseFaultyRequest();
       break;
     }
     if (!m_reader.IsComplete()) {
@@ -275,6 +312,19 @@
     DispatchRequest();
   }
   m_parsing = false;
+  return used;
+}
+
+void ConnectionServer::Impl::Connection::ParseBufferedRequests() {
+  if (m_parsing) {
+    return;
+  }
+  // Moved out, so that an empty buffer has no memory and a response can discard what follows.
+  const std::string bytes = std::exchange(m_unparsed, {});
+  const std::size_t used = ParseRequests(bytes);
+  if (!m_lingering && m_tcp != nullptr) {
+    m_unparsed = bytes.substr(used);
+  }
 }
 
 void ConnectionServer::Impl::Connection::SendContinueIfExpected() {
@@ -302,6 +352,9 @@
 void ConnectionServer::Impl::Connection::Refuse(Refusal refusal) {
   CountRefusal(refusal, m_server.refused);
   HttpResponse response{StatusOf(refusal), {}, "", true};
+  if (refusal == Refusal::kNoMemory) {
+    response.headers.push_back({"retry-after", kRetryAfterSeconds});
+  }
   if (m_server.make_refusal != nullptr) {
     response = m_server.make_refusal(refusal);
     response.close_connection = true;
@@ -326,7 +379,7 @@
   m_tcp->SetReading(true);
   if (!m_unparsed.empty()) {
     // Posted, because many pipelined requests would otherwise recurse and exhaust the stack.
-    m_server.loop.Post([self] { self->ParseRequests(); });
+    m_server.loop.Post([self] { self->ParseBufferedRequests(); });
   }
 }
 
@@ -372,6 +425,7 @@
 void ConnectionServer::Impl::Accept(uv_stream_s* stream) {
   auto connection = std::make_shared<Connection>(*this, stream);
   if (connection->IsOpen()) {
+    connection->Start();
     connections[connection.get()] = std::move(connection);
   }
 }
--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -151,7 +151,7 @@
         m_head(SerializeRequestHead(request, ToString(m_client->peer), new_connection)),
         m_body(request.body),
         m_callback(std::move(callback)),
-        m_reservation(m_client->options.memory_budget, [this] { FailForMemory(); }),
+        m_memory(MakeReservation()),
         m_timer(m_client->loop, [this] { OnTimer(); }) {
     m_buffers[0] = h2o_iovec_init(m_head.data(), m_head.size());
     m_buffers[1] = h2o_iovec_init(m_body.Bytes().data(), m_body.size());
@@ -260,7 +260,7 @@
     }
     call.m_response.body.Append({input->bytes, input->size});
     h2o_buffer_consume(&client->sock->input, input->size);
-    if (!call.m_reservation.Resize(call.m_response.body.size())) {
+    if (call.m_memory != nullptr && !call.m_memory->Resize(call.m_response.body.capacity())) {
       call.m_h2o_client = nullptr;
       call.FailForMemory();
       return -1;
@@ -316,7 +316,21 @@
                            closed_by_peer});
   }
 
-  void Succeed() { Report(std::move(m_response)); }
+  void Succeed() {
+    if (m_memory != nullptr) {
+      m_memory->Complete();
+      m_response.body.Keep(std::move(m_memory));
+    }
+    Report(std::move(m_response));
+  }
+
+  /** Returns the reservation for the response, or null without a budget. */
+  std::shared_ptr<MemoryReservation> MakeReservation() {
+    const std::shared_ptr<MemoryBudget>& budget = m_client->options.memory_budget;
+    return budget == nullptr ? nullptr
+                             : std::make_shared<MemoryReservation>(budget, MessageKind::kResponse,
+                                                                   [this] { FailForMemory(); });
+  }
 
   void Report(HttpCallResult result) {
     if (m_ended) {
@@ -337,7 +351,7 @@
   void End() {
     m_ended = true;
     m_timer.Stop();
-    m_reservation.Resize(0);
+    m_memory.reset();
     if (m_pool != nullptr) {
       m_client->DestroyLater(std::move(m_pool));
     }
@@ -357,7 +371,7 @@
   Body m_body;
   std::array<h2o_iovec_t, 2> m_buffers{};
   Callback m_callback;
-  MemoryReservation m_reservation;
+  std::shared_ptr<MemoryReservation> m_memory;
   net::Timer m_timer;
   TimePoint m_deadline{};
   h2o_http1client_t* m_h2o_client = nullptr;
--- a/libs/http/src/memory_budget.cc
+++ b/libs/http/src/memory_budget.cc
@@ -1,48 +1,69 @@
 #include "quetzalhinge/http/memory_budget.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace qh::http {
 
-MemoryReservation::MemoryReservation(std::shared_ptr<MemoryBudget> budget,
+std::size_t MemoryBudget::MaxReservedFor(MessageKind kind,
+                                         std::size_t message_bytes) const noexcept {
+  if (message_bytes <= kMaxSmallMessage) {
+    return m_options.max_bytes;
+  }
+  return kind == MessageKind::kRequest ? m_options.max_bytes_for_large_requests
+                                       : m_options.max_bytes_for_large_responses;
+}
+
+MemoryReservation::MemoryReservation(std::shared_ptr<MemoryBudget> budget, MessageKind kind,
                                      std::function<void()> on_revoked)
-    : m_budget(std::move(budget)), m_on_revoked(std::move(on_revoked)) {}
+    : m_budget(std::move(budget)), m_kind(kind), m_on_revoked(std::move(on_revoked)) {}
 
 MemoryReservation::~MemoryReservation() { SetSize(0); }
 
 bool MemoryReservation::Resize(std::size_t bytes) {
-  if (m_budget == nullptr) {
-    return true;
-  }
   SetSize(bytes);
-  while (m_budget->m_reserved > m_budget->m_max_bytes) {
-    MemoryReservation* const largest =
-        *std::max_element(m_budget->m_reservations.begin(), m_budget->m_reservations.end(),
-                          [](const auto* a, const auto* b) { return a->m_bytes < b->m_bytes; });
-    // Of messages of the same size, the one that grows is rejected.
-    MemoryReservation* const rejected = largest->m_bytes > m_bytes ? largest : this;
-    ++m_budget->m_rejected_messages;
+  while (bytes > 0 && m_budget->Reserved() > m_budget->MaxReservedFor(m_kind, bytes)) {
+    MemoryReservation* const rejected = LargestToRevoke();
+    ++m_budget->Of(rejected->m_kind).rejected;
     rejected->SetSize(0);
     if (rejected == this) {
       return false;
     }
-    rejected->m_on_revoked();
+    // Copied, because it destroys the reservation.
+    const std::function<void()> on_revoked = rejected->m_on_revoked;
+    on_revoked();
   }
   return true;
 }
 
+MemoryReservation* MemoryReservation::LargestToRevoke() {
+  // Of messages of the same size, the one that grows is rejected.
+  MemoryReservation* largest = this;
+  for (MemoryReservation* const reservation : m_budget->m_reading) {
+    const bool may_be_revoked =
+        reservation->m_kind == MessageKind::kRequest || m_kind == MessageKind::kResponse;
+    if (may_be_revoked && reservation->m_bytes > largest->m_bytes) {
+      largest = reservation;
+    }
+  }
+  return largest;
+}
+
+void MemoryReservation::Complete() {
+  m_budget->m_reading.erase(this);
+  m_on_revoked = nullptr;
+}
+
 void MemoryReservation::SetSize(std::size_t bytes) {
-  if (m_budget == nullptr || bytes == m_bytes) {
+  if (bytes == m_bytes) {
     return;
   }
-  m_budget->m_reserved += bytes;
-  m_budget->m_reserved -= m_bytes;
+  std::size_t& reserved = m_budget->Of(m_kind).reserved;
+  reserved = reserved + bytes - m_bytes;
   m_bytes = bytes;
   if (bytes == 0) {
-    m_budget->m_reservations.erase(this);
+    m_budget->m_reading.erase(this);
   } else {
-    m_budget->m_reservations.insert(this);
+    m_budget->m_reading.insert(this);
   }
 }
 
--- a/libs/http/src/message_reader.cc
+++ b/libs/http/src/message_reader.cc
@@ -13,11 +13,12 @@
 namespace qh::http {
 namespace {
 
-constexpr EnumTable<ReadFault, 5> kFaultNames{{{
+constexpr EnumTable<ReadFault, 6> kFaultNames{{{
     {ReadFault::kMalformed, "malformed"},
     {ReadFault::kAmbiguousFraming, "ambiguous_framing"},
     {ReadFault::kHeadTooLarge, "head_too_large"},
     {ReadFault::kBodyTooLarge, "body_too_large"},
+    {ReadFault::kNoMemory, "no_memory"},
     {ReadFault::kCutShort, "cut_short"},
 }}};
 
@@ -62,7 +63,8 @@
   StatusCodeCheck status_code;
   HttpRequest request;
   HttpResponse response;
-  std::unique_ptr<MemoryReservation> reservation;
+  /** The memory of the message that is being read, if any of it is reserved. */
+  std::shared_ptr<MemoryReservation> memory;
   std::function<void()> on_revoked;
   std::size_t head_bytes = 0;
   /** Memory of the fields of the complete head. */
@@ -82,14 +84,30 @@
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
-  void SetLimits(const ReaderLimits& reader_limits) {
-    limits = reader_limits;
-    reservation = std::make_unique<MemoryReservation>(limits.memory_budget, [this] { Revoke(); });
+  void SetLimits(const ReaderLimits& reader_limits) { limits = reader_limits; }
+
+  /** Reserves `bytes` for the message. Returns false if there is no memory for it. */
+  bool Reserve(std::size_t bytes) {
+    if (limits.memory_budget == nullptr) {
+      return true;
+    }
+    if (memory == nullptr) {
+      memory =
+          std::make_shared<MemoryReservation>(limits.memory_budget, kind, [this] { Revoke(); });
+    }
+    return memory->Resize(bytes);
+  }
+
+  ReadFault NoMemoryFault() const {
+    if (kind == MessageKind::kRequest) {
+      return ReadFault::kNoMemory;
+    }
+    return head_complete ? ReadFault::kBodyTooLarge : ReadFault::kHeadTooLarge;
   }
 
   /** Rejects the message, whose bytes are needed for others. */
   void Revoke() {
-    Reject(head_complete ? ReadFault::kBodyTooLarge : ReadFault::kHeadTooLarge);
+    Reject(NoMemoryFault());
     if (on_revoked != nullptr) {
       on_revoked();
     }
@@ -106,10 +124,12 @@
     // Moved out, because assigning an empty string keeps the memory of the old one.
     const HttpRequest freed_request = std::exchange(request, {});
     const HttpResponse freed_response = std::exchange(response, {});
+    memory.reset();
   }
 
+  /** Returns the memory of the path and the fields that have been read. */
   std::size_t FieldMemory() {
-    std::size_t bytes = 0;
+    std::size_t bytes = request.path.size();
     for (const HttpHeader& header : Headers()) {
       bytes += sizeof(header) + header.name.size() + header.value.size();
     }
@@ -117,7 +137,6 @@
   }
 
   void Restart() {
-    reservation->Resize(0);
     http_parser_init(&parser, kind == MessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
     parser.data = this;
     status_code.Restart();
@@ -210,13 +229,18 @@
 
   static int OnBody(http_parser* parser, const char* bytes, std::size_t size) {
     Impl& impl = From(parser);
-    const std::size_t body_bytes = impl.MessageBody().size() + size;
-    if (body_bytes > impl.limits.max_body_bytes ||
-        !impl.reservation->Resize(impl.field_bytes + body_bytes)) {
+    Body& body = impl.MessageBody();
+    const std::size_t body_bytes = body.size() + size;
+    if (body_bytes > impl.limits.max_body_bytes) {
       impl.Reject(ReadFault::kBodyTooLarge);
       return 1;
     }
-    impl.MessageBody().Append({bytes, size});
+    const std::size_t capacity = body.CapacityFor(body_bytes);
+    if (capacity > body.capacity() && !impl.Reserve(impl.field_bytes + capacity)) {
+      impl.Reject(impl.NoMemoryFault());
+      return 1;
+    }
+    body.Append({bytes, size});
     return 0;
   }
 
@@ -231,11 +255,25 @@
       impl.reading_value = false;
       return 0;
     }
-    impl.complete = true;
+    impl.complete = impl.KeepMemoryWithBody();
     impl.keeps_connection = http_should_keep_alive(parser) != 0;
     return 0;
   }
 
+  /** Hands the memory of the complete message over to its body. Returns false if there is none. */
+  bool KeepMemoryWithBody() {
+    if (limits.memory_budget == nullptr) {
+      return true;
+    }
+    if (!Reserve(field_bytes + MessageBody().capacity())) {
+      Reject(NoMemoryFault());
+      return false;
+    }
+    memory->Complete();
+    MessageBody().Keep(std::move(memory));
+    return true;
+  }
+
   /**
    * Parses up to the end of the current message, which may be an interim response, and returns the
    * number of consumed bytes.
@@ -249,9 +287,9 @@
     }
     if (!head_complete) {
       head_bytes += used;
-      if (!fault.has_value() &&
-          (head_bytes > limits.max_head_bytes || !reservation->Resize(head_bytes))) {
-        Reject(ReadFault::kHeadTooLarge);
+      const std::size_t memory_bytes = head_bytes + Headers().size() * sizeof(HttpHeader);
+      if (!fault.has_value() && (head_bytes > limits.max_head_bytes || !Reserve(memory_bytes))) {
+        Reject(head_bytes > limits.max_head_bytes ? ReadFault::kHeadTooLarge : NoMemoryFault());
       }
     }
     if (error != HPE_OK && error != HPE_PAUSED && !fault.has_value()) {
--- a/libs/http/test/test_client_faults.cc
+++ b/libs/http/test/test_client_faults.cc
@@ -75,6 +75,9 @@
   REQUIRE(std::holds_alternative<HttpCallFailure>(*endless_result));
   CHECK(std::get<HttpCallFailure>(*endless_result).error.code == ErrorCode::kExhausted);
   CHECK(std::get<HttpCallFailure>(*endless_result).stage == CallStage::kResponseStarted);
+  // The complete response counts as long as it exists.
+  CHECK(options.memory_budget->Reserved() == std::get<HttpResponse>(*sound_result).body.capacity());
+  sound_result.reset();
   CHECK(options.memory_budget->Reserved() == 0);
 }
 
--- a/libs/limits/include/quetzalhinge/limits/process_limits.h
+++ b/libs/limits/include/quetzalhinge/limits/process_limits.h
@@ -13,7 +13,7 @@
 };
 
 /** Ranges of the settings that set ProcessLimits. */
-inline constexpr double kMinMemoryMb = 16;
+inline constexpr double kMinMemoryMb = 32;
 inline constexpr double kMaxMemoryMb = 1024.0 * 1024.0;
 inline constexpr int kMinDescriptors = 256;
 inline constexpr int kMaxDescriptors = 10'000'000;
