Limit the connections to each address of qh-gateway

Callers saw: a VM without a descriptor for them, because other clients keep thousands of connections open, idle, with a part of a head or with small bodies, at the callers' address or any other. Cause: the number of connections had no limit, only idle and head time-outs.

Change: ConnectionLimits::max_connections. A new connection replaces others without a request in progress: first those that have never completed a request, the longest without progress first; an ordinary caller's connection, which sends its request at once, is the last. If all have a request in progress, the new one is closed unread. Metrics: qh_connections, qh_connections_replaced, qh_connections_not_accepted by listener. Log: component=overload step="connections closed for others", at most one line a second for each listener.

New unit test without a run before the change, as it needs its classes: "New connections replace those that wait longest without a request".

--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -62,10 +62,12 @@
 constexpr double kGossipOwnZoneShare = 0.75;
 
 /** Limits for internal requests (other VMs, metrics, readiness, addresses), which are small. */
-http::ConnectionLimits InternalLimits(const std::shared_ptr<http::MemoryBudget>& message_memory) {
+http::ConnectionLimits InternalLimits(const overload::ListenerCapacity& capacity,
+                                      const std::shared_ptr<http::MemoryBudget>& message_memory) {
   http::ConnectionLimits limits;
   limits.message.max_body_bytes = 64 * 1024;
   limits.message.memory_budget = message_memory;
+  limits.max_connections = capacity.max_connections;
   return limits;
 }
 
@@ -153,11 +155,11 @@
                    routes, registry, {settings.worker_drain, settings.apply_within}, *this),
         call_server(loop, CallerLimits({}),
                     [this](auto exchange) { call_service.Handle(std::move(exchange)); }),
-        ready_server(loop, InternalLimits(message_memory),
+        ready_server(loop, InternalLimits(capacity.others, message_memory),
                      [this](auto exchange) { HandleReadinessRequest(*exchange); }),
-        address_server(loop, InternalLimits(message_memory),
+        address_server(loop, InternalLimits(capacity.others, message_memory),
                        [this](auto exchange) { HandleAddressRequest(*exchange); }),
-        internal_server(loop, InternalLimits(message_memory),
+        internal_server(loop, InternalLimits(capacity.others, message_memory),
                         [this](auto exchange) { HandleInternalRequest(exchange); }),
         tick(loop, [this] { Tick(); }),
         stop_timer(loop, [this] { ContinueStop(); }),
@@ -170,6 +172,10 @@
                        *this) {
     // After a restart under load, callers cannot wait until peers are known.
     call_service.OnMissingConfiguration([this] { StartReading(); });
+    overload_monitor.Watch("callers", call_server);
+    overload_monitor.Watch("ready", ready_server);
+    overload_monitor.Watch("addresses", address_server);
+    overload_monitor.Watch("internal", internal_server);
     relayed_store.OnEra([this](std::uint64_t era) { registration.OnStoreEra(era); });
     relayed_store.OnStoreRecovered([this](Duration ago) { store_copy.OnStoreRecovered(ago); });
   }
@@ -245,6 +251,7 @@
   /** Returns `limits` with what follows from the capacity of the process. */
   http::ConnectionLimits CallerLimits(http::ConnectionLimits limits) const {
     limits.message.memory_budget = message_memory;
+    limits.max_connections = capacity.callers.max_connections;
     return limits;
   }
 
--- a/libs/http/include/quetzalhinge/http/connection_server.h
+++ b/libs/http/include/quetzalhinge/http/connection_server.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string_view>
 
@@ -22,6 +23,12 @@
   std::chrono::milliseconds head_timeout{3000};
   /** Time-out of a connection without a request, and between two reads of a request body. */
   std::chrono::milliseconds idle_timeout{15000};
+  /**
+   * Number of connections at which a new one replaces others: connections without a request in
+   * progress, first those that have never completed a request, the longest without progress first.
+   * If there is none, the new one is closed.
+   */
+  std::size_t max_connections = std::numeric_limits<std::size_t>::max();
 };
 
 /** A complete request that awaits its response. Destroying it without one sends status 500. */
@@ -71,6 +78,14 @@
   std::size_t no_memory = 0;
 };
 
+/** Numbers of connections that the server closed because of ConnectionLimits::max_connections. */
+struct ConnectionCounts {
+  /** Closed to make room for new ones. */
+  std::size_t replaced = 0;
+  /** Closed as soon as they were accepted. */
+  std::size_t not_accepted = 0;
+};
+
 /**
  * HTTP/1.1 server that continues to read while a request is in progress, so that it detects at once
  * when the peer disconnects. It handles one request per connection at a time; bytes of pipelined
@@ -125,6 +140,11 @@
   /** Returns the counts of rejected requests since the server was created. */
   const RefusalCounts& Refused() const noexcept;
 
+  /** Returns the counts of closed connections since the server was created. */
+  const ConnectionCounts& Closed() const noexcept;
+
+  const ConnectionLimits& Limits() const noexcept;
+
  private:
   struct Impl;
   std::shared_ptr<Impl> m_impl;
--- a/libs/http/src/connection_server.cc
+++ b/libs/http/src/connection_server.cc
@@ -24,6 +24,12 @@
 /** Value of retry-after when the memory is used up; other VMs may have some at once. */
 constexpr const char* kRetryAfterSeconds = "0.25";
 
+/**
+ * Fraction of the maximum number of connections that is closed at once to make room, so that the
+ * search for them is rare when many connections arrive.
+ */
+constexpr std::size_t kReplacedDivisor = 32;
+
 /** How long a lingering close waits for the peer to close its side. */
 constexpr milliseconds kLingeringCloseTimeout{1000};
 
@@ -110,6 +116,7 @@
   std::size_t in_progress = 0;
   bool close_after_responses = false;
   RefusalCounts refused;
+  ConnectionCounts closed;
   std::function<HttpResponse(Refusal)> make_refusal;
 
   Impl(net::EventLoop& event_loop, const ConnectionLimits& connection_limits, Handler on_request)
@@ -119,6 +126,9 @@
         sweep(loop, [this] { Sweep(); }) {}
 
   void Accept(uv_stream_s* stream);
+
+  /** Closes connections so that a new one is below the limit, if there are any to close. */
+  void MakeRoom();
   void Sweep();
 };
 
@@ -143,6 +153,16 @@
 
   bool IsOpen() const { return m_tcp != nullptr && m_tcp->IsOpen(); }
   bool IsIdle() const { return m_exchange.expired() && !m_lingering && !m_reader.IsStarted(); }
+
+  /** Returns whether no request is in progress and no response waits to be sent. */
+  bool IsReplaceable() const { return m_exchange.expired() && QueuedBytes() == 0; }
+
+  /** Returns whether this connection is to be closed before `other` to make room. */
+  bool IsReplacedBefore(const Connection& other) const {
+    return m_has_served != other.m_has_served ? !m_has_served
+                                              : m_wait_started < other.m_wait_started;
+  }
+
   const IpEndpoint& Peer() const { return m_tcp->Peer(); }
   std::size_t QueuedBytes() const { return m_tcp == nullptr ? 0 : m_tcp->QueuedBytes(); }
   void OnBytes(std::string_view bytes) override;
@@ -201,6 +221,8 @@
   /** Start of the wait that CheckTimeouts() limits. */
   TimePoint m_wait_started;
   bool m_continue_sent = false;
+  /** Whether a complete request was read. */
+  bool m_has_served = false;
   bool m_lingering = false;
   /** Whether ParseRequests() runs, which goes on with the next request itself. */
   bool m_parsing = false;
@@ -343,6 +365,7 @@
       std::make_shared<Exchange>(m_server.shared_from_this(), shared_from_this(),
                                  std::move(m_reader.Request()), m_reader.KeepsConnection());
   m_exchange = exchange;
+  m_has_served = true;
   m_continue_sent = false;
   m_reader.SetLimits(m_server.limits.message);
   m_reader.Restart();
@@ -424,10 +447,36 @@
 
 void ConnectionServer::Impl::Accept(uv_stream_s* stream) {
   auto connection = std::make_shared<Connection>(*this, stream);
-  if (connection->IsOpen()) {
-    connection->Start();
-    connections[connection.get()] = std::move(connection);
+  if (!connection->IsOpen()) {
+    return;
+  }
+  if (connections.size() >= limits.max_connections) {
+    MakeRoom();
+  }
+  if (connections.size() >= limits.max_connections) {
+    ++closed.not_accepted;
+    return;
+  }
+  connection->Start();
+  connections[connection.get()] = std::move(connection);
+}
+
+void ConnectionServer::Impl::MakeRoom() {
+  std::vector<std::shared_ptr<Connection>> replaceable;
+  for (const auto& [key, connection] : connections) {
+    if (connection->IsReplaceable()) {
+      replaceable.push_back(connection);
+    }
+  }
+  const std::size_t count = std::min(
+      replaceable.size(), std::max<std::size_t>(1, limits.max_connections / kReplacedDivisor));
+  std::partial_sort(replaceable.begin(), replaceable.begin() + static_cast<std::ptrdiff_t>(count),
+                    replaceable.end(),
+                    [](const auto& a, const auto& b) { return a->IsReplacedBefore(*b); });
+  for (std::size_t i = 0; i < count; ++i) {
+    replaceable[i]->CloseNow();
   }
+  closed.replaced += count;
 }
 
 void ConnectionServer::Impl::Sweep() {
@@ -509,5 +558,7 @@
 
 std::size_t ConnectionServer::InProgress() const noexcept { return m_impl->in_progress; }
 const RefusalCounts& ConnectionServer::Refused() const noexcept { return m_impl->refused; }
+const ConnectionCounts& ConnectionServer::Closed() const noexcept { return m_impl->closed; }
+const ConnectionLimits& ConnectionServer::Limits() const noexcept { return m_impl->limits; }
 
 }  // namespace qh::http
--- a/libs/http/test/test_connections.cc
+++ b/libs/http/test/test_connections.cc
@@ -213,4 +213,66 @@
   }
 }
 
+// Guards against a process that has no descriptor left for ordinary callers.
+SCENARIO("New connections replace those that wait longest without a request") {
+  net::EventLoop loop;
+  std::vector<std::shared_ptr<ServerExchange>> pending;
+  bool responds = true;
+  ConnectionLimits limits;
+  limits.max_connections = 4;
+  ConnectionServer server(loop, limits, [&](std::shared_ptr<ServerExchange> exchange) {
+    if (responds) {
+      exchange->Respond({200, {}, "", false});
+    } else {
+      pending.push_back(std::move(exchange));
+    }
+  });
+  REQUIRE(IsOk(server.Listen({"127.0.0.1", 0})));
+  std::vector<std::unique_ptr<ClientConnection>> clients;
+  const auto connect = [&] {
+    const std::size_t accepted =
+        server.OpenConnections() + server.Closed().replaced + server.Closed().not_accepted;
+    clients.push_back(std::make_unique<ClientConnection>(loop, server.LocalEndpoint(),
+                                                         ClientConnectionOptions{}));
+    RunUntil(loop, [&] {
+      return server.OpenConnections() + server.Closed().replaced + server.Closed().not_accepted >
+             accepted;
+    });
+  };
+  const auto is_closed = [&](std::size_t client) { return clients[client]->IsUnusable(); };
+
+  WHEN("none has a request in progress") {
+    connect();
+    REQUIRE(std::holds_alternative<HttpResponse>(Call(loop, *clients[0], MakeRequest())));
+    for (int i = 0; i < 4; ++i) {
+      connect();
+    }
+    THEN("the oldest one that has never sent a request is closed") {
+      RunUntil(loop, [&] { return is_closed(1); });
+      CHECK(server.OpenConnections() == 4);
+      CHECK(server.Closed().replaced == 1);
+      for (const std::size_t open : {0, 2, 3, 4}) {
+        CHECK(std::holds_alternative<HttpResponse>(Call(loop, *clients[open], MakeRequest())));
+      }
+    }
+  }
+  WHEN("all have a request in progress") {
+    responds = false;
+    for (std::size_t i = 0; i < 4; ++i) {
+      connect();
+      clients[i]->Start(MakeRequest(), [](const HttpCallResult&) {});
+      RunUntil(loop, [&] { return pending.size() == i + 1; });
+    }
+    connect();
+    THEN("the new one is closed and their requests go on") {
+      RunUntil(loop, [&] { return is_closed(4); });
+      CHECK(server.Closed().not_accepted == 1);
+      CHECK(server.Closed().replaced == 0);
+      for (const auto& exchange : pending) {
+        CHECK(exchange->IsConnected());
+      }
+    }
+  }
+}
+
 }  // namespace qh::http
--- a/libs/overload/include/quetzalhinge/overload/overload_monitor.h
+++ b/libs/overload/include/quetzalhinge/overload/overload_monitor.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "quetzalhinge/base/time.h"
+#include "quetzalhinge/http/connection_server.h"
 #include "quetzalhinge/http/memory_budget.h"
 #include "quetzalhinge/metrics/metrics_registry.h"
 
@@ -21,6 +22,10 @@
   OverloadMonitor(metrics::MetricsRegistry& metrics,
                   std::shared_ptr<const http::MemoryBudget> message_memory);
 
+  /** Reports the connections to `server`, which must outlive the monitor, as those of `listener`.
+   */
+  void Watch(const std::string& listener, const http::ConnectionServer& server);
+
   /** Updates the metrics and logs what has been rejected. To be called several times a second. */
   void Update(TimePoint now);
 
@@ -32,12 +37,15 @@
   };
 
   void UpdateMessages(http::MessageKind kind, TimePoint now);
+  void UpdateConnections(const std::string& listener, const http::ConnectionServer& server,
+                         TimePoint now);
 
   /** Returns whether a line about the limit `name` is due, and takes it as logged. */
   bool IsLineDue(const std::string& name, std::size_t rejected, TimePoint now);
 
   metrics::MetricsRegistry& m_metrics;
   std::shared_ptr<const http::MemoryBudget> m_message_memory;
+  std::map<std::string, const http::ConnectionServer*> m_servers;
   std::map<std::string, Reported> m_reported;
 };
 
--- a/libs/overload/src/overload_monitor.cc
+++ b/libs/overload/src/overload_monitor.cc
@@ -31,7 +31,14 @@
                                  std::shared_ptr<const http::MemoryBudget> message_memory)
     : m_metrics(metrics), m_message_memory(std::move(message_memory)) {}
 
+void OverloadMonitor::Watch(const std::string& listener, const http::ConnectionServer& server) {
+  m_servers[listener] = &server;
+}
+
 void OverloadMonitor::Update(TimePoint now) {
+  for (const auto& [listener, server] : m_servers) {
+    UpdateConnections(listener, *server, now);
+  }
   UpdateMessages(http::MessageKind::kRequest, now);
   UpdateMessages(http::MessageKind::kResponse, now);
 }
@@ -55,6 +62,23 @@
   }
 }
 
+void OverloadMonitor::UpdateConnections(const std::string& listener,
+                                        const http::ConnectionServer& server, TimePoint now) {
+  const http::ConnectionCounts& closed = server.Closed();
+  const std::string label = "listener=\"" + listener + "\"";
+  m_metrics.GaugeOf("qh_connections", label).Set(static_cast<double>(server.OpenConnections()));
+  m_metrics.GaugeOf("qh_connections_replaced", label).Set(static_cast<double>(closed.replaced));
+  m_metrics.GaugeOf("qh_connections_not_accepted", label)
+      .Set(static_cast<double>(closed.not_accepted));
+  if (IsLineDue(listener, closed.replaced + closed.not_accepted, now)) {
+    logging::LogChange("overload", "connections closed for others",
+                       {{"listener", listener},
+                        {"replaced", std::to_string(closed.replaced)},
+                        {"not_accepted", std::to_string(closed.not_accepted)},
+                        {"max_connections", std::to_string(server.Limits().max_connections)}});
+  }
+}
+
 bool OverloadMonitor::IsLineDue(const std::string& name, std::size_t rejected, TimePoint now) {
   Reported& reported = m_reported[name];
   if (rejected == reported.rejected || now - reported.at < kLineInterval) {
