Limit the received bytes that qh-gateway has not read yet

Callers saw: a VM that ends while it is frozen or short of processor time, because bytes that the kernel has received for it count as its memory. Cause: the kernel's buffer of a connection starts at 128 KB, grows to megabytes, and 1,024 more connections may wait to be accepted, each with its own buffer.

Change: TcpListenOptions sets the receive buffer before listening (32 KB at the callers' address, 8 KB at others) and the number of connections that wait (half of those that may be open). A caller then sends at most about 32 KB in a round trip: 5 MB a second at the 6 ms of the small sites. The capacity of a process counts both; one caller's connection for 320 KB of memory in place of 256. A body of a known length allocates no more than that length.

--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -68,6 +68,7 @@
   limits.message.max_body_bytes = 64 * 1024;
   limits.message.memory_budget = message_memory;
   limits.max_connections = capacity.max_connections;
+  limits.receive_buffer_bytes = capacity.receive_buffer_bytes;
   return limits;
 }
 
@@ -252,6 +253,7 @@
   http::ConnectionLimits CallerLimits(http::ConnectionLimits limits) const {
     limits.message.memory_budget = message_memory;
     limits.max_connections = capacity.callers.max_connections;
+    limits.receive_buffer_bytes = capacity.callers.receive_buffer_bytes;
     return limits;
   }
 
--- a/libs/http/include/quetzalhinge/http/body.h
+++ b/libs/http/include/quetzalhinge/http/body.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -29,9 +30,12 @@
   /** Returns the number of bytes that are allocated. */
   std::size_t capacity() const noexcept;
 
-  /** Returns the capacity() that the body will have once it is at least `bytes` long. */
+  /** Returns the capacity() that the body will have once it is `bytes` long. */
   std::size_t CapacityFor(std::size_t bytes) const noexcept;
 
+  /** Announces that the body does not become longer than `bytes`, to allocate no more than that. */
+  void SetMaxSize(std::size_t bytes) noexcept { m_max_size = bytes; }
+
   /** Appends `bytes`. The body must have no copies. */
   void Append(std::string_view bytes);
 
@@ -53,6 +57,7 @@
   Content& OwnContent();
 
   std::shared_ptr<Content> m_content;
+  std::size_t m_max_size = std::numeric_limits<std::size_t>::max();
 };
 
 }  // namespace qh::http
--- a/libs/http/include/quetzalhinge/http/connection_server.h
+++ b/libs/http/include/quetzalhinge/http/connection_server.h
@@ -29,6 +29,11 @@
    * If there is none, the new one is closed.
    */
   std::size_t max_connections = std::numeric_limits<std::size_t>::max();
+  /**
+   * Size of the kernel's buffer for bytes that a connection has received and that are not read; 0
+   * for the kernel's choice. Applies to servers that are not listening yet.
+   */
+  std::size_t receive_buffer_bytes = 0;
 };
 
 /** A complete request that awaits its response. Destroying it without one sends status 500. */
--- a/libs/http/src/body.cc
+++ b/libs/http/src/body.cc
@@ -56,8 +56,10 @@
 }
 
 std::size_t Body::CapacityFor(std::size_t bytes) const noexcept {
-  return bytes <= capacity() ? capacity()
-                             : std::max(bytes, capacity() + capacity() / kGrowthDivisor);
+  if (bytes <= capacity()) {
+    return capacity();
+  }
+  return std::max(bytes, std::min(capacity() + capacity() / kGrowthDivisor, m_max_size));
 }
 
 void Body::Append(std::string_view bytes) {
--- a/libs/http/src/connection_server.cc
+++ b/libs/http/src/connection_server.cc
@@ -30,6 +30,10 @@
  */
 constexpr std::size_t kReplacedDivisor = 32;
 
+/** Range of the number of connections that wait to be accepted: half of those that may be open. */
+constexpr std::size_t kMinBacklog = 16;
+constexpr std::size_t kMaxBacklog = 1024;
+
 /** How long a lingering close waits for the peer to close its side. */
 constexpr milliseconds kLingeringCloseTimeout{1000};
 
@@ -505,7 +509,12 @@
 Result<Success> ConnectionServer::Listen(const IpEndpoint& endpoint) {
   m_impl->listener = std::make_unique<net::TcpListener>(
       m_impl->loop, [impl = m_impl.get()](uv_stream_s* stream) { impl->Accept(stream); });
-  Result<Success> listening = m_impl->listener->Listen(endpoint);
+  const ConnectionLimits& limits = m_impl->limits;
+  net::TcpListenOptions options;
+  options.backlog =
+      static_cast<int>(std::clamp(limits.max_connections / 2, kMinBacklog, kMaxBacklog));
+  options.receive_buffer_bytes = static_cast<int>(limits.receive_buffer_bytes);
+  Result<Success> listening = m_impl->listener->Listen(endpoint, options);
   if (IsOk(listening)) {
     m_impl->local = m_impl->listener->LocalEndpoint();
     m_impl->sweep.StartRepeating(kSweepInterval);
--- a/libs/http/src/message_reader.cc
+++ b/libs/http/src/message_reader.cc
@@ -224,6 +224,9 @@
       impl.fault = ReadFault::kBodyTooLarge;
       return -1;
     }
+    if (has_length) {
+      impl.MessageBody().SetMaxSize(parser->content_length);
+    }
     return impl.is_response_to_head ? 1 : 0;
   }
 
--- a/libs/http/test/test_body.cc
+++ b/libs/http/test/test_body.cc
@@ -41,4 +41,13 @@
   CHECK(body == expected);
 }
 
+SCENARIO("A body does not allocate more than its announced size") {
+  Body body;
+  body.SetMaxSize(100'000);
+  while (body.size() < 100'000) {
+    body.Append(std::string(12'500, 'x'));
+    CHECK(body.capacity() <= 100'000);
+  }
+}
+
 }  // namespace qh::http
--- a/libs/net/include/quetzalhinge/net/tcp_listener.h
+++ b/libs/net/include/quetzalhinge/net/tcp_listener.h
@@ -10,6 +10,17 @@
 
 namespace qh::net {
 
+/** What pending and accepted connections may use in the kernel. */
+struct TcpListenOptions {
+  /** Maximum number of pending connections. The kernel reduces it to its own limit. */
+  int backlog = 1024;
+  /**
+   * Size of the buffer for bytes that a connection has received and that are not read; 0 for the
+   * kernel's choice, which grows to megabytes.
+   */
+  int receive_buffer_bytes = 0;
+};
+
 /** A listening TCP socket. */
 class TcpListener {
  public:
@@ -24,7 +35,7 @@
   TcpListener& operator=(const TcpListener&) = delete;
 
   /** Starts to listen on `endpoint`. Port 0 selects a free port. An error names the address. */
-  Result<Success> Listen(const IpEndpoint& endpoint);
+  Result<Success> Listen(const IpEndpoint& endpoint, const TcpListenOptions& options = {});
 
   /** Returns the address that the socket is bound to, with the actual port. */
   IpEndpoint LocalEndpoint() const;
--- a/libs/net/src/tcp_listener.cc
+++ b/libs/net/src/tcp_listener.cc
@@ -5,13 +5,6 @@
 #include <utility>
 
 namespace qh::net {
-namespace {
-
-/** Maximum number of pending connections. The kernel reduces it to its own limit. */
-constexpr int kBacklog = 1024;
-
-}  // namespace
-
 struct TcpListener::Impl {
   uv_tcp_t handle{};
   AcceptCallback on_connection;
@@ -35,12 +28,18 @@
            [](uv_handle_t* handle) { delete static_cast<Impl*>(handle->data); });
 }
 
-Result<Success> TcpListener::Listen(const IpEndpoint& endpoint) {
+Result<Success> TcpListener::Listen(const IpEndpoint& endpoint, const TcpListenOptions& options) {
   const sockaddr_in address = ToSockaddr(endpoint);
   int status = uv_tcp_bind(&m_impl->handle, reinterpret_cast<const sockaddr*>(&address), 0);
+  if (status == 0 && options.receive_buffer_bytes > 0) {
+    // Set before listening: accepted connections inherit it, and their peers never see a larger
+    // window. Without the option, the process can still serve, with less control of its memory.
+    int bytes = options.receive_buffer_bytes;
+    (void)uv_recv_buffer_size(reinterpret_cast<uv_handle_t*>(&m_impl->handle), &bytes);
+  }
   if (status == 0) {
-    status =
-        uv_listen(reinterpret_cast<uv_stream_t*>(&m_impl->handle), kBacklog, Impl::OnConnection);
+    status = uv_listen(reinterpret_cast<uv_stream_t*>(&m_impl->handle), options.backlog,
+                       Impl::OnConnection);
   }
   if (status != 0) {
     return Error{ErrorCode::kUnavailable, "listen", ToString(endpoint), uv_strerror(status)};
--- a/libs/overload/src/process_capacity.cc
+++ b/libs/overload/src/process_capacity.cc
@@ -18,7 +18,7 @@
 constexpr double kLargeRequestsShare = 0.45;
 
 /** Memory beside the program for one connection of each kind. */
-constexpr double kBytesPerCallerConnection = 256.0 * 1024;
+constexpr double kBytesPerCallerConnection = 320.0 * 1024;
 constexpr double kBytesPerOtherConnection = 1024.0 * 1024;
 
 constexpr std::size_t kCallerReceiveBuffer = 32 * 1024;
--- a/libs/overload/test/test_process_capacity.cc
+++ b/libs/overload/test/test_process_capacity.cc
@@ -14,6 +14,12 @@
 constexpr std::size_t kProgramBytes = 16 * kMegabyte;
 constexpr std::size_t kOtherListeners = 3;
 
+/** Returns the memory for the connections of a listener. Half as many wait to be accepted. */
+std::size_t MemoryOf(const ListenerCapacity& capacity) {
+  return capacity.max_connections * (capacity.receive_buffer_bytes + kConnectionBytes) +
+         capacity.max_connections / 2 * capacity.receive_buffer_bytes;
+}
+
 }  // namespace
 
 SCENARIO("What clients may use stays within the limits of the process") {
