Read the next request of a connection only when its last response is sent

Callers saw: a VM that ends because other clients send many requests at once on each connection and do not read the answers. Cause: the next pipelined request was read as soon as the response to the last one was queued, so the write queue of one connection had no limit.

Change: ConnectionServer reads the next request when the write queue is empty.

--- a/libs/http/src/connection_server.cc
+++ b/libs/http/src/connection_server.cc
@@ -171,6 +171,11 @@
   std::size_t QueuedBytes() const { return m_tcp == nullptr ? 0 : m_tcp->QueuedBytes(); }
   void OnBytes(std::string_view bytes) override;
   void OnEnd(net::TcpEnd end, const Error& error) override;
+  void OnAllWritten() override {
+    if (MayReadRequest()) {
+      ReadNextRequest();
+    }
+  }
   void Send(const HttpResponse& response, bool is_head);
   void CheckTimeouts(TimePoint now);
 
@@ -200,6 +205,7 @@
   std::size_t ParseRequests(std::string_view bytes);
 
   void ParseBufferedRequests();
+  void ReadNextRequest();
   void DispatchRequest();
   void Refuse(Refusal refusal);
 
@@ -210,8 +216,13 @@
     }
   }
 
-  /** Returns whether the next request may be read. */
-  bool MayReadRequest() const { return m_exchange.expired() && !m_lingering && m_tcp != nullptr; }
+  /**
+   * Returns whether the next request may be read: none is in progress, and the last response has
+   * been sent, so that a peer that does not read cannot make the server hold more responses.
+   */
+  bool MayReadRequest() const {
+    return m_exchange.expired() && !m_lingering && m_tcp != nullptr && m_tcp->QueuedBytes() == 0;
+  }
 
   void SendContinueIfExpected();
 
@@ -317,7 +328,7 @@
     return;
   }
   m_unparsed.append(bytes);
-  if (!m_exchange.expired() && m_unparsed.size() > kMaxPipelinedBytes) {
+  if (!MayReadRequest() && m_unparsed.size() > kMaxPipelinedBytes) {
     m_tcp->SetReading(false);
   }
 }
@@ -403,10 +414,16 @@
     StartLingeringClose();
     return;
   }
+  if (m_tcp->QueuedBytes() == 0) {
+    ReadNextRequest();
+  }
+}
+
+void ConnectionServer::Impl::Connection::ReadNextRequest() {
   m_tcp->SetReading(true);
   if (!m_unparsed.empty()) {
     // Posted, because many pipelined requests would otherwise recurse and exhaust the stack.
-    m_server.loop.Post([self] { self->ParseBufferedRequests(); });
+    m_server.loop.Post([self = shared_from_this()] { self->ParseBufferedRequests(); });
   }
 }
 
