Limit the memory and the connections for all clients of qh-entry

Callers saw: a qh-entry that ends, or has no descriptor for them, because other clients send many bodies, complete or not, or keep many connections open, at the callers' or the admin address. Cause: as in qh-gateway, a limit for each body and none for all; the budget of 32 MB for responses ended with their reading.

Change: qh-entry uses the budget, the limits on connections and the receive buffers of libs/overload. What [keys_at_most_once] max_bytes allows for stored responses is taken off [limits] memory_mb first. The metrics and log lines are those of qh-gateway.

--- a/apps/qh-entry/src/entry_process.cc
+++ b/apps/qh-entry/src/entry_process.cc
@@ -1,5 +1,6 @@
 #include "entry_process.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "address_book.h"
@@ -9,6 +10,8 @@
 #include "peer_link.h"
 #include "quetzalhinge/http/http_server.h"
 #include "quetzalhinge/logging/log.h"
+#include "quetzalhinge/overload/overload_monitor.h"
+#include "quetzalhinge/overload/process_capacity.h"
 #include "quetzalhinge/rpc/kj_event_loop.h"
 
 namespace qh::entry {
@@ -38,16 +41,14 @@
           static_cast<std::uint32_t>(settings.home_slots)};
 }
 
-http::HttpServerOptions CallerServerOptions(const vm_settings::EntryVmSettings& settings,
-                                            http::RefusalResponse refusal_response) {
-  return {settings.addresses.callers, settings.max_body_bytes, settings.caller_timeout,
-          std::move(refusal_response)};
-}
-
-http::HttpServerOptions AdminServerOptions(const vm_settings::EntryVmSettings& settings) {
-  http::HttpServerOptions options;
-  options.listen = settings.addresses.entry_admin;
-  return options;
+/** Limits of the process without the memory for the responses that are stored with keys. */
+limits::ProcessLimits LimitsWithoutKeys(const vm_settings::EntryVmSettings& settings) {
+  constexpr double kBytesPerMb = 1024.0 * 1024.0;
+  limits::ProcessLimits limits = settings.process_limits;
+  limits.memory_mb =
+      std::max(limits::kMinMemoryMb,
+               limits.memory_mb - static_cast<double>(settings.key_max_bytes) / kBytesPerMb);
+  return limits;
 }
 
 }  // namespace
@@ -59,6 +60,9 @@
   RandomGenerator generator = MakeSeededGenerator();
   std::uint64_t incarnation = generator();
   metrics::MetricsRegistry metrics;
+  overload::ProcessCapacity capacity;
+  std::shared_ptr<http::MemoryBudget> message_memory;
+  overload::OverloadMonitor overload_monitor;
   EventLog events;
   rpc::KjEventLoop kj_loop;
   auth::MessageAuthenticator authenticator;
@@ -86,12 +90,15 @@
       : loop(event_loop),
         settings(vm_settings),
         started(event_loop.Now()),
+        capacity(overload::CapacityOf(LimitsWithoutKeys(vm_settings))),
+        message_memory(std::make_shared<http::MemoryBudget>(capacity.messages)),
+        overload_monitor(metrics, message_memory),
         events(vm_settings.name, "qh-entry", vm_settings.timeline_capacity),
         kj_loop(event_loop),
         authenticator(TakeValue(auth::MessageAuthenticator::Create({vm_settings.deployment_key}))),
         book(BookOptions(vm_settings)),
         customers(vm_settings, started),
-        workers(event_loop, vm_settings, metrics, events, generator),
+        workers(event_loop, vm_settings, metrics, events, generator, message_memory),
         keys(vm_settings, incarnation, authenticator, generator),
         addresses(AddressOptions(vm_settings), keys.Authority()),
         peers(kj_loop, vm_settings,
@@ -102,15 +109,11 @@
                           generator},
               addresses),
         control(kj_loop, vm_settings, incarnation, *this),
-        caller_server(event_loop,
-                      CallerServerOptions(vm_settings,
-                                          [this](http::Refusal refusal) {
-                                            return calls.BadInputResponse(refusal);
-                                          }),
+        caller_server(event_loop, CallerServerOptions(),
                       [this](const std::shared_ptr<http::HttpExchange>& exchange) {
                         calls.Handle(exchange);
                       }),
-        admin_server(event_loop, AdminServerOptions(vm_settings),
+        admin_server(event_loop, AdminServerOptions(),
                      [this](const std::shared_ptr<http::HttpExchange>& exchange) {
                        HandleAdmin(*exchange);
                      }),
@@ -120,6 +123,27 @@
     keys.SetPeers(addresses, peers);
     workers.SetNoticePublisher(
         [this](const membership::Notice& notice) { control.Publish(notice); });
+    overload_monitor.Watch("callers", caller_server.Connections());
+    overload_monitor.Watch("admin", admin_server.Connections());
+  }
+
+  http::HttpServerOptions CallerServerOptions() {
+    return {settings.addresses.callers,
+            settings.max_body_bytes,
+            settings.caller_timeout,
+            [this](http::Refusal refusal) { return calls.BadInputResponse(refusal); },
+            message_memory,
+            capacity.callers.max_connections,
+            capacity.callers.receive_buffer_bytes};
+  }
+
+  http::HttpServerOptions AdminServerOptions() const {
+    http::HttpServerOptions options;
+    options.listen = settings.addresses.entry_admin;
+    options.memory_budget = message_memory;
+    options.max_connections = capacity.others.max_connections;
+    options.receive_buffer_bytes = capacity.others.receive_buffer_bytes;
+    return options;
   }
 
   contract::Revision OnContracts(contract::ChangesAnswer changes) override {
@@ -191,6 +215,7 @@
 
   void ReportStatus() {
     UpdateReadiness();
+    overload_monitor.Update(loop.Now());
     const bool draining =
         calls.State() == ServiceState::kDraining || calls.State() == ServiceState::kStopped;
     control.ReportStatus({static_cast<std::uint32_t>(calls.InProgress()), book.CurrentRevision(),
@@ -206,6 +231,7 @@
   void HandleAdmin(http::HttpExchange& exchange) {
     const std::string& path = exchange.Request().path;
     if (http::PathOnly(path) == "/metrics") {
+      overload_monitor.Update(loop.Now());
       metrics.GaugeOf("qh_calls_in_progress").Set(static_cast<double>(calls.InProgress()));
       metrics.GaugeOf("qh_attempts_in_progress").Set(static_cast<double>(workers.InProgress()));
       metrics.GaugeOf("qh_contract_revision").Set(static_cast<double>(book.CurrentRevision()));
--- a/apps/qh-entry/src/worker_pool.cc
+++ b/apps/qh-entry/src/worker_pool.cc
@@ -82,9 +82,11 @@
   std::map<std::uint64_t, ActiveAttempt> attempts;
   metrics::Counter& probes;
   metrics::Counter& idle_discards;
+  std::shared_ptr<http::MemoryBudget> message_memory;
 
   Impl(net::EventLoop& event_loop, const vm_settings::EntryVmSettings& vm_settings,
-       metrics::MetricsRegistry& registry, EventLog& event_log, RandomGenerator& random)
+       metrics::MetricsRegistry& registry, EventLog& event_log, RandomGenerator& random,
+       std::shared_ptr<http::MemoryBudget> memory)
       : loop(event_loop),
         settings(vm_settings),
         metrics(registry),
@@ -93,7 +95,8 @@
         table(TableOptions(vm_settings)),
         maintenance_timer(event_loop, [this] { RunMaintenance(); }),
         probes(registry.CounterOf("qh_probes_total")),
-        idle_discards(registry.CounterOf("qh_idle_connections_discarded_total")) {
+        idle_discards(registry.CounterOf("qh_idle_connections_discarded_total")),
+        message_memory(std::move(memory)) {
     routing::SelectorOptions options;
     options.own_zone = settings.zone;
     selector = routing::MakeWorkerSelector(ToSelectionPolicy(settings.policy), options);
@@ -159,15 +162,11 @@
     http::HttpClientOptions options;
     // Bounds memory use; contracts set lower limits.
     options.max_response_bytes = kMaxResponseBytes;
-    options.memory_budget = response_memory;
+    options.memory_budget = message_memory;
     return std::make_unique<http::HttpClient>(loop, endpoint, options);
   }
 
   static constexpr std::size_t kMaxResponseBytes = 64 * 1024 * 1024;
-  /** Memory for all responses that are being read: an eighth of the memory of a small entry VM. */
-  static constexpr std::size_t kMaxResponseMemory = 32 * 1024 * 1024;
-  std::shared_ptr<http::MemoryBudget> response_memory =
-      std::make_shared<http::MemoryBudget>(kMaxResponseMemory);
 
   void ApplyObservation(const std::string& id, const WorkerObservation& observation) {
     if (table.Apply(id, observation, loop.Now())) {
@@ -473,8 +472,10 @@
 
 WorkerPool::WorkerPool(net::EventLoop& loop, const vm_settings::EntryVmSettings& settings,
                        metrics::MetricsRegistry& metrics, EventLog& events,
-                       RandomGenerator& generator)
-    : m_impl(std::make_shared<Impl>(loop, settings, metrics, events, generator)) {}
+                       RandomGenerator& generator,
+                       std::shared_ptr<http::MemoryBudget> message_memory)
+    : m_impl(std::make_shared<Impl>(loop, settings, metrics, events, generator,
+                                    std::move(message_memory))) {}
 
 WorkerPool::~WorkerPool() = default;
 
--- a/apps/qh-entry/src/worker_pool.h
+++ b/apps/qh-entry/src/worker_pool.h
@@ -79,8 +79,13 @@
   using NoticePublisher = std::function<void(const membership::Notice&)>;
   using AttemptCallback = std::function<void(AttemptResult)>;
 
+  /**
+   * All references must outlive the pool.
+   * @param message_memory limits the memory for responses
+   */
   WorkerPool(net::EventLoop& loop, const vm_settings::EntryVmSettings& settings,
-             metrics::MetricsRegistry& metrics, EventLog& events, RandomGenerator& generator);
+             metrics::MetricsRegistry& metrics, EventLog& events, RandomGenerator& generator,
+             std::shared_ptr<http::MemoryBudget> message_memory);
   ~WorkerPool();
   WorkerPool(const WorkerPool&) = delete;
   WorkerPool& operator=(const WorkerPool&) = delete;
--- a/libs/http/include/quetzalhinge/http/http_server.h
+++ b/libs/http/include/quetzalhinge/http/http_server.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -31,6 +32,12 @@
   std::chrono::milliseconds request_timeout{10000};
   /** Builds the responses to rejected requests. By default they have only a status. */
   RefusalResponse refusal_response = nullptr;
+  /** See ReaderLimits::memory_budget. */
+  std::shared_ptr<MemoryBudget> memory_budget = nullptr;
+  /** See ConnectionLimits::max_connections. */
+  std::size_t max_connections = std::numeric_limits<std::size_t>::max();
+  /** See ConnectionLimits::receive_buffer_bytes. */
+  std::size_t receive_buffer_bytes = 0;
 };
 
 /** A request that awaits its response. Destroying it without a response sends status 500. */
@@ -98,6 +105,9 @@
   /** Returns the number of requests that were passed to the handler and await a response. */
   std::size_t InProgress() const noexcept;
 
+  /** Returns the server that owns the connections, for its counts. */
+  const ConnectionServer& Connections() const noexcept;
+
  private:
   struct Impl;
   std::shared_ptr<Impl> m_impl;
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -13,9 +13,11 @@
 
 ConnectionLimits LimitsOf(const HttpServerOptions& options) {
   ConnectionLimits limits;
-  limits.message = {kMaxHeadBytes, kMaxHeadFields, options.max_body_bytes};
+  limits.message = {kMaxHeadBytes, kMaxHeadFields, options.max_body_bytes, options.memory_budget};
   limits.head_timeout = options.request_timeout;
   limits.idle_timeout = options.request_timeout;
+  limits.max_connections = options.max_connections;
+  limits.receive_buffer_bytes = options.receive_buffer_bytes;
   return limits;
 }
 
@@ -65,5 +67,6 @@
 }
 std::size_t HttpServer::QueuedBytes() const { return m_impl->server.QueuedBytes(); }
 std::size_t HttpServer::InProgress() const noexcept { return m_impl->server.InProgress(); }
+const ConnectionServer& HttpServer::Connections() const noexcept { return m_impl->server; }
 
 }  // namespace qh::http
