Limit the memory and the connections for all clients of qh-control over HTTP

Operators saw: a qh-control that ends because others, without a token, send many bodies or keep many connections open at its HTTP address. Cause: a body has a limit of 256 KB, all bodies together had none, and the token is checked when the request is complete.

Change: qh-control uses the budget, the limit on connections and the receive buffer of libs/overload; metrics and log lines as in qh-gateway.

--- a/apps/qh-control/src/control_process.cc
+++ b/apps/qh-control/src/control_process.cc
@@ -25,8 +25,8 @@
 
 using membership::MemberState;
 
-/** Interval for checking the age of the latest confirmation. */
-constexpr std::chrono::milliseconds kConfirmationCheckInterval{250};
+/** Interval for checking the age of the latest confirmation, and what limits on clients reject. */
+constexpr std::chrono::milliseconds kCheckInterval{250};
 /** Delay between the end of a planned stop and process exit, for sending the final messages. */
 constexpr std::chrono::milliseconds kFinalMessageDelay{100};
 
@@ -64,7 +64,7 @@
   RpcGate gate;
   OperatorApi operators;
   net::SignalWatcher signals;
-  net::Timer confirmation_timer;
+  net::Timer check_timer;
   net::Timer drain_timer;
   net::Timer exit_timer;
   bool draining = false;
@@ -80,7 +80,11 @@
         gate(context, contracts.Book(), entry, peers, *this),
         operators(context, MakeOperatorBackend()),
         signals(context.loop, [this](int count) { OnStopSignal(count); }),
-        confirmation_timer(context.loop, [this] { RefreshConfirmation(); }),
+        check_timer(context.loop,
+                    [this] {
+                      RefreshConfirmation();
+                      context.overload_monitor.Update(context.loop.Now());
+                    }),
         drain_timer(context.loop, [this] { EndDrain("drain limit reached"); }),
         exit_timer(context.loop, [this] { context.loop.Stop(); }) {
     workers.SetChangeCallback([this] { UpdateView(); });
@@ -95,6 +99,7 @@
             [this] { BeginDrain(); },
             [this] {
               platform.UpdateMetrics();
+              context.overload_monitor.Update(context.loop.Now());
               UpdateResourceGauges(context.metrics);
             }};
   }
@@ -286,7 +291,7 @@
     }
   }
   m_impl->platform.Start();
-  m_impl->confirmation_timer.StartRepeating(kConfirmationCheckInterval);
+  m_impl->check_timer.StartRepeating(kCheckInterval);
   const vm_settings::EntryVmSettings& settings = m_impl->context.settings;
   m_impl->context.events.Add("started", {});
   logging::LogChange("process", "started",
--- a/apps/qh-control/src/operator_api.cc
+++ b/apps/qh-control/src/operator_api.cc
@@ -46,13 +46,18 @@
       : context(process_context),
         backend(std::move(operator_backend)),
         token(context.settings.operator_token),
-        server(context.loop, ServerOptions(context.settings),
-               [this](const Exchange& exchange) { Handle(exchange); }) {}
+        server(context.loop, ServerOptions(context),
+               [this](const Exchange& exchange) { Handle(exchange); }) {
+    context.overload_monitor.Watch("operators", server.Connections());
+  }
 
-  static http::HttpServerOptions ServerOptions(const vm_settings::EntryVmSettings& settings) {
+  static http::HttpServerOptions ServerOptions(const ControlContext& context) {
     http::HttpServerOptions options;
-    options.listen = settings.addresses.operators;
+    options.listen = context.settings.addresses.operators;
     options.max_body_bytes = kMaxBodyBytes;
+    options.memory_budget = context.message_memory;
+    options.max_connections = context.capacity.others.max_connections;
+    options.receive_buffer_bytes = context.capacity.others.receive_buffer_bytes;
     return options;
   }
 
