Limit what RPC connections without a session may use

Others saw: a qh-control or qh-entry that ends, or has no descriptor left, because programs that do not know the deployment's key connect to its RPC address and announce a message of 60 MB, send a part of it, or nothing. Cause: the key is checked when a session opens; until then a connection had no limit, and each had a read buffer of 64 KB of its own.

Change: RpcServerLimits. A connection that has opened no session is closed after 64 KB, and a new one replaces the oldest of them when there are as many as libs/overload gives to an address. A session that proves the key lifts both. All streams share one read buffer.

--- a/apps/qh-control/src/rpc_gate.cc
+++ b/apps/qh-control/src/rpc_gate.cc
@@ -123,8 +123,8 @@
  */
 class GateService : public ControlGate::Server {
  public:
-  explicit GateService(ServiceContext& services)
-      : m_services(services), m_nonce(rpc::MakeNonce()) {}
+  GateService(ServiceContext& services, std::shared_ptr<rpc::RpcSession> session)
+      : m_services(services), m_session(std::move(session)), m_nonce(rpc::MakeNonce()) {}
 
   kj::Promise<void> challenge(ChallengeContext call) override {
     call.getResults().setNonce(
@@ -162,6 +162,9 @@
                                                         m_nonce, caller, service));
     // After one wrong code, the connection can no longer open a session.
     m_rejected = !authentic;
+    if (authentic) {
+      m_session->SetAuthenticated();
+    }
     return authentic;
   }
 
@@ -172,6 +175,7 @@
   }
 
   ServiceContext& m_services;
+  std::shared_ptr<rpc::RpcSession> m_session;
   std::string m_nonce;
   bool m_rejected = false;
 };
@@ -194,9 +198,26 @@
                                            "kind=\"peer\",direction=\"received\""),
                  context.metrics.CounterOf("qh_control_bytes_total",
                                            "kind=\"peer\",direction=\"sent\"")},
-        server(context.kj_loop, context.settings.addresses.control_rpc, [this] {
-          return capnp::Capability::Client(ControlGate::Client(kj::heap<GateService>(services)));
-        }) {}
+        server(
+            context.kj_loop, context.settings.addresses.control_rpc,
+            [this](std::shared_ptr<rpc::RpcSession> session) {
+              return capnp::Capability::Client(
+                  ControlGate::Client(kj::heap<GateService>(services, std::move(session))));
+            },
+            LimitsOf(context.capacity.others)) {
+    context.overload_monitor.Watch(
+        "control_rpc", [this, max = context.capacity.others.max_connections] {
+          return overload::ListenerUsage{server.OpenConnections(), max,
+                                         server.ReplacedConnections(), 0};
+        });
+  }
+
+  static rpc::RpcServerLimits LimitsOf(const overload::ListenerCapacity& capacity) {
+    rpc::RpcServerLimits limits;
+    limits.max_unauthenticated = capacity.max_connections;
+    limits.receive_buffer_bytes = static_cast<int>(capacity.receive_buffer_bytes);
+    return limits;
+  }
 };
 
 RpcGate::RpcGate(ControlContext& context, const contract::ContractBook& book, EntryLink& entry,
--- a/apps/qh-entry/src/entry_process.cc
+++ b/apps/qh-entry/src/entry_process.cc
@@ -101,10 +101,12 @@
         workers(event_loop, vm_settings, metrics, events, generator, message_memory),
         keys(vm_settings, incarnation, authenticator, generator),
         addresses(AddressOptions(vm_settings), keys.Authority()),
-        peers(kj_loop, vm_settings,
-              [this](const std::string& key, std::uint64_t fingerprint) {
-                return keys.ResolveForPeer(key, fingerprint);
-              }),
+        peers(
+            kj_loop, vm_settings,
+            [this](const std::string& key, std::uint64_t fingerprint) {
+              return keys.ResolveForPeer(key, fingerprint);
+            },
+            PeerLimits()),
         calls(CallContext{event_loop, vm_settings, book, customers, workers, keys, events, metrics,
                           generator},
               addresses),
@@ -125,6 +127,18 @@
         [this](const membership::Notice& notice) { control.Publish(notice); });
     overload_monitor.Watch("callers", caller_server.Connections());
     overload_monitor.Watch("admin", admin_server.Connections());
+    overload_monitor.Watch("entry_rpc", [this] {
+      return overload::ListenerUsage{peers.Server().OpenConnections(),
+                                     capacity.others.max_connections,
+                                     peers.Server().ReplacedConnections(), 0};
+    });
+  }
+
+  rpc::RpcServerLimits PeerLimits() const {
+    rpc::RpcServerLimits limits;
+    limits.max_unauthenticated = capacity.others.max_connections;
+    limits.receive_buffer_bytes = static_cast<int>(capacity.others.receive_buffer_bytes);
+    return limits;
   }
 
   http::HttpServerOptions CallerServerOptions() {
--- a/apps/qh-entry/src/peer_link.cc
+++ b/apps/qh-entry/src/peer_link.cc
@@ -82,8 +82,12 @@
  */
 class EntryGateServer : public rpc::wire::EntryGate::Server {
  public:
-  EntryGateServer(const std::string& key, const KeyResolver& resolver)
-      : m_key(key), m_resolver(resolver), m_nonce(rpc::MakeNonce()) {}
+  EntryGateServer(const std::string& key, const KeyResolver& resolver,
+                  std::shared_ptr<rpc::RpcSession> session)
+      : m_key(key),
+        m_resolver(resolver),
+        m_session(std::move(session)),
+        m_nonce(rpc::MakeNonce()) {}
 
   // NOLINTBEGIN(readability-identifier-naming): the names come from the schema.
   kj::Promise<void> challenge(ChallengeContext context) override {
@@ -98,6 +102,7 @@
     if (!rpc::CodesEqual(std::string_view(code.begin(), code.size()), expected)) {
       return KJ_EXCEPTION(FAILED, "session code does not match");
     }
+    m_session->SetAuthenticated();
     context.getResults().setService(kj::heap<EntryPeerServer>(m_resolver));
     return kj::READY_NOW;
   }
@@ -106,6 +111,7 @@
  private:
   const std::string& m_key;
   const KeyResolver& m_resolver;
+  std::shared_ptr<rpc::RpcSession> m_session;
   std::string m_nonce;
 };
 
@@ -126,14 +132,18 @@
   std::map<std::string, PeerConnection> connections;
 
   Impl(rpc::KjEventLoop& loop, const vm_settings::EntryVmSettings& vm_settings,
-       KeyResolver key_resolver)
+       KeyResolver key_resolver, const rpc::RpcServerLimits& limits)
       : kj_loop(loop),
         settings(vm_settings),
         resolver(std::move(key_resolver)),
-        server(loop, vm_settings.addresses.entry_rpc, [this] {
-          return capnp::Capability::Client(rpc::wire::EntryGate::Client(
-              kj::heap<EntryGateServer>(settings.deployment_key, resolver)));
-        }) {}
+        server(
+            loop, vm_settings.addresses.entry_rpc,
+            [this](std::shared_ptr<rpc::RpcSession> session) {
+              return capnp::Capability::Client(
+                  rpc::wire::EntryGate::Client(kj::heap<EntryGateServer>(
+                      settings.deployment_key, resolver, std::move(session))));
+            },
+            limits) {}
 
   rpc::wire::EntryPeer::Client ServiceOf(const EntryVm& vm) {
     PeerConnection& connection = connections[vm.name];
@@ -192,12 +202,13 @@
 }  // namespace
 
 PeerLink::PeerLink(rpc::KjEventLoop& kj_loop, const vm_settings::EntryVmSettings& settings,
-                   KeyResolver resolver)
-    : m_impl(std::make_shared<Impl>(kj_loop, settings, std::move(resolver))) {}
+                   KeyResolver resolver, const rpc::RpcServerLimits& limits)
+    : m_impl(std::make_shared<Impl>(kj_loop, settings, std::move(resolver), limits)) {}
 
 PeerLink::~PeerLink() = default;
 
 Result<Success> PeerLink::Start() { return m_impl->server.Start(); }
+const rpc::RpcServer& PeerLink::Server() const noexcept { return m_impl->server; }
 
 void PeerLink::ResolveKey(const EntryVm& holder, const std::string& key, std::uint64_t fingerprint,
                           ResolveCallback callback) {
--- a/libs/overload/include/quetzalhinge/overload/overload_monitor.h
+++ b/libs/overload/include/quetzalhinge/overload/overload_monitor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -12,6 +13,16 @@
 
 namespace qh::overload {
 
+/** Connections to one listening address. */
+struct ListenerUsage {
+  std::size_t open = 0;
+  /** Limit on the connections that `replaced` and `not_accepted` follow from. */
+  std::size_t max_connections = 0;
+  /** Numbers of connections that were closed for new ones, or as soon as they were accepted. */
+  std::size_t replaced = 0;
+  std::size_t not_accepted = 0;
+};
+
 /**
  * Reports what the limits of a ProcessCapacity reject: as metrics, and in a log line for each limit
  * that has rejected anything since its last line, at most once per second.
@@ -22,8 +33,10 @@
   OverloadMonitor(metrics::MetricsRegistry& metrics,
                   std::shared_ptr<const http::MemoryBudget> message_memory);
 
-  /** Reports the connections to `server`, which must outlive the monitor, as those of `listener`.
-   */
+  /** Reports the connections to the address `listener`. */
+  void Watch(const std::string& listener, std::function<ListenerUsage()> usage);
+
+  /** Reports the connections to `server`, which must outlive the monitor. */
   void Watch(const std::string& listener, const http::ConnectionServer& server);
 
   /** Updates the metrics and logs what has been rejected. To be called several times a second. */
@@ -37,15 +50,14 @@
   };
 
   void UpdateMessages(http::MessageKind kind, TimePoint now);
-  void UpdateConnections(const std::string& listener, const http::ConnectionServer& server,
-                         TimePoint now);
+  void UpdateConnections(const std::string& listener, const ListenerUsage& usage, TimePoint now);
 
   /** Returns whether a line about the limit `name` is due, and takes it as logged. */
   bool IsLineDue(const std::string& name, std::size_t rejected, TimePoint now);
 
   metrics::MetricsRegistry& m_metrics;
   std::shared_ptr<const http::MemoryBudget> m_message_memory;
-  std::map<std::string, const http::ConnectionServer*> m_servers;
+  std::map<std::string, std::function<ListenerUsage()>> m_listeners;
   std::map<std::string, Reported> m_reported;
 };
 
--- a/libs/overload/src/overload_monitor.cc
+++ b/libs/overload/src/overload_monitor.cc
@@ -31,13 +31,20 @@
                                  std::shared_ptr<const http::MemoryBudget> message_memory)
     : m_metrics(metrics), m_message_memory(std::move(message_memory)) {}
 
+void OverloadMonitor::Watch(const std::string& listener, std::function<ListenerUsage()> usage) {
+  m_listeners[listener] = std::move(usage);
+}
+
 void OverloadMonitor::Watch(const std::string& listener, const http::ConnectionServer& server) {
-  m_servers[listener] = &server;
+  Watch(listener, [&server] {
+    return ListenerUsage{server.OpenConnections(), server.Limits().max_connections,
+                         server.Closed().replaced, server.Closed().not_accepted};
+  });
 }
 
 void OverloadMonitor::Update(TimePoint now) {
-  for (const auto& [listener, server] : m_servers) {
-    UpdateConnections(listener, *server, now);
+  for (const auto& [listener, usage] : m_listeners) {
+    UpdateConnections(listener, usage(), now);
   }
   UpdateMessages(http::MessageKind::kRequest, now);
   UpdateMessages(http::MessageKind::kResponse, now);
@@ -62,20 +69,19 @@
   }
 }
 
-void OverloadMonitor::UpdateConnections(const std::string& listener,
-                                        const http::ConnectionServer& server, TimePoint now) {
-  const http::ConnectionCounts& closed = server.Closed();
+void OverloadMonitor::UpdateConnections(const std::string& listener, const ListenerUsage& usage,
+                                        TimePoint now) {
   const std::string label = "listener=\"" + listener + "\"";
-  m_metrics.GaugeOf("qh_connections", label).Set(static_cast<double>(server.OpenConnections()));
-  m_metrics.GaugeOf("qh_connections_replaced", label).Set(static_cast<double>(closed.replaced));
+  m_metrics.GaugeOf("qh_connections", label).Set(static_cast<double>(usage.open));
+  m_metrics.GaugeOf("qh_connections_replaced", label).Set(static_cast<double>(usage.replaced));
   m_metrics.GaugeOf("qh_connections_not_accepted", label)
-      .Set(static_cast<double>(closed.not_accepted));
-  if (IsLineDue(listener, closed.replaced + closed.not_accepted, now)) {
+      .Set(static_cast<double>(usage.not_accepted));
+  if (IsLineDue(listener, usage.replaced + usage.not_accepted, now)) {
     logging::LogChange("overload", "connections closed for others",
                        {{"listener", listener},
-                        {"replaced", std::to_string(closed.replaced)},
-                        {"not_accepted", std::to_string(closed.not_accepted)},
-                        {"max_connections", std::to_string(server.Limits().max_connections)}});
+                        {"replaced", std::to_string(usage.replaced)},
+                        {"not_accepted", std::to_string(usage.not_accepted)},
+                        {"max_connections", std::to_string(usage.max_connections)}});
   }
 }
 
--- a/libs/rpc/src/uv_stream.cc
+++ b/libs/rpc/src/uv_stream.cc
@@ -3,15 +3,23 @@
 #include <kj/debug.h>
 
 #include <algorithm>
+#include <array>
 #include <cstring>
 #include <memory>
+#include <utility>
 #include <vector>
 
 namespace qh::rpc {
 namespace {
 
+/** Size of the read buffer. All streams of a thread share it: the bytes are copied at once. */
 constexpr std::size_t kReadBufferBytes = 65536;
 
+std::array<char, kReadBufferBytes>& ReadBuffer() {
+  static thread_local std::array<char, kReadBufferBytes> buffer;
+  return buffer;
+}
+
 kj::Exception UvException(int status) {
   const auto type =
       status == UV_ETIMEDOUT ? kj::Exception::Type::OVERLOADED : kj::Exception::Type::DISCONNECTED;
@@ -37,7 +45,8 @@
 
 class UvStream : public kj::AsyncIoStream {
  public:
-  explicit UvStream(uv_tcp_t* handle) : m_handle(handle) {
+  UvStream(uv_tcp_t* handle, std::shared_ptr<const ReceiveLimit> limit)
+      : m_handle(handle), m_limit(std::move(limit)) {
     m_handle->data = this;
     uv_tcp_nodelay(m_handle, 1);
     uv_read_start(reinterpret_cast<uv_stream_t*>(m_handle), OnAllocate, OnRead);
@@ -109,7 +118,7 @@
       *buffer = uv_buf_init(nullptr, 0);
       return;
     }
-    *buffer = uv_buf_init(stream->m_read_buffer.data(), kReadBufferBytes);
+    *buffer = uv_buf_init(ReadBuffer().data(), kReadBufferBytes);
   }
 
   static void OnRead(uv_stream_t* handle, ssize_t size, const uv_buf_t* buffer) {
@@ -121,6 +130,11 @@
       stream->OnDisconnect();
       return;
     }
+    stream->m_received_bytes += static_cast<std::size_t>(size);
+    if (stream->m_limit != nullptr && stream->m_received_bytes > stream->m_limit->max_bytes) {
+      stream->OnDisconnect();
+      return;
+    }
     stream->m_received.insert(stream->m_received.end(), buffer->base, buffer->base + size);
     if (stream->m_read_fulfiller.get() != nullptr) {
       stream->CopyReceived();
@@ -184,7 +198,9 @@
   }
 
   uv_tcp_t* m_handle;
-  std::vector<char> m_read_buffer = std::vector<char>(kReadBufferBytes);
+  std::shared_ptr<const ReceiveLimit> m_limit;
+  std::size_t m_received_bytes = 0;
+  /** Bytes that KJ has not read yet. */
   std::vector<char> m_received;
   ReadTarget m_read_target;
   kj::Own<kj::PromiseFulfiller<std::size_t>> m_read_fulfiller;
@@ -209,7 +225,10 @@
            [](uv_handle_t* closed) { delete reinterpret_cast<uv_tcp_t*>(closed); });
 }
 
-kj::Own<kj::AsyncIoStream> MakeUvStream(uv_tcp_t* handle) { return kj::heap<UvStream>(handle); }
+kj::Own<kj::AsyncIoStream> MakeUvStream(uv_tcp_t* handle,
+                                        std::shared_ptr<const ReceiveLimit> limit) {
+  return kj::heap<UvStream>(handle, std::move(limit));
+}
 
 kj::Promise<kj::Own<kj::AsyncIoStream>> ConnectUvStream(uv_loop_t* loop, const IpEndpoint& peer) {
   auto pair = kj::newPromiseAndFulfiller<kj::Own<kj::AsyncIoStream>>();
--- a/libs/rpc/test/test_rpc.cc
+++ b/libs/rpc/test/test_rpc.cc
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
+#include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "processes.capnp.h"
 #include "quetzalhinge/rpc/rpc_client.h"
@@ -25,9 +27,10 @@
 TEST_CASE("A capability is called over TCP on a libuv loop") {
   net::EventLoop loop;
   KjEventLoop kj_loop(loop);
-  auto server = std::make_unique<RpcServer>(kj_loop, IpEndpoint{"127.0.0.1", 0}, [] {
-    return capnp::Capability::Client(wire::EntryPeer::Client(kj::heap<EchoPeer>()));
-  });
+  auto server = std::make_unique<RpcServer>(
+      kj_loop, IpEndpoint{"127.0.0.1", 0}, [](const std::shared_ptr<RpcSession>&) {
+        return capnp::Capability::Client(wire::EntryPeer::Client(kj::heap<EchoPeer>()));
+      });
   REQUIRE(IsOk(server->Start()));
   RpcClient client(kj_loop, server->LocalEndpoint());
   wire::EntryPeer::Client peer = client.Bootstrap().castAs<wire::EntryPeer>();
@@ -54,6 +57,69 @@
   }
 }
 
+// Guards against a process that runs out of memory or descriptors because of connections of
+// programs that do not know the deployment's key.
+TEST_CASE("Connections without authentication are limited") {
+  net::EventLoop loop;
+  KjEventLoop kj_loop(loop);
+  std::vector<std::shared_ptr<RpcSession>> sessions;
+  RpcServerLimits limits;
+  limits.max_unauthenticated = 2;
+  limits.max_unauthenticated_bytes = 1000;
+  RpcServer server(
+      kj_loop, IpEndpoint{"127.0.0.1", 0},
+      [&](std::shared_ptr<RpcSession> session) {
+        sessions.push_back(std::move(session));
+        return capnp::Capability::Client(wire::EntryPeer::Client(kj::heap<EchoPeer>()));
+      },
+      limits);
+  REQUIRE(IsOk(server.Start()));
+  const auto run_until = [&](const std::function<bool()>& condition) {
+    const TimePoint until = loop.Now() + std::chrono::seconds(20);
+    while (!condition() && loop.Now() < until) {
+      loop.RunOnce(std::chrono::milliseconds(10));
+    }
+    return condition();
+  };
+  const auto connect = [&] {
+    auto client = std::make_unique<RpcClient>(kj_loop, server.LocalEndpoint());
+    const std::size_t connected = sessions.size() + 1;
+    REQUIRE(run_until([&] { return sessions.size() == connected; }));
+    return client;
+  };
+  const auto send = [&](RpcClient& client, std::size_t key_bytes) {
+    auto request = client.Bootstrap().castAs<wire::EntryPeer>().resolveKeyRequest();
+    request.setKey(std::string(key_bytes, 'k'));
+    auto is_answered = std::make_shared<bool>(false);
+    kj_loop.Detach(request.send().then([is_answered](auto&&) { *is_answered = true; }));
+    return is_answered;
+  };
+  const auto first = connect();
+
+  SECTION("one that sends too much is closed") {
+    send(*first, 2000);
+    CHECK(run_until([&] { return first->IsDisconnected(); }));
+    CHECK(run_until([&] { return server.OpenConnections() == 0; }));
+  }
+  SECTION("an authenticated one may send as much as it wants") {
+    sessions.front()->SetAuthenticated();
+    const auto is_answered = send(*first, 100'000);
+    CHECK(run_until([&] { return *is_answered; }));
+  }
+  SECTION("a new one replaces the oldest, but none that is authenticated") {
+    sessions.front()->SetAuthenticated();
+    const auto second = connect();
+    const auto third = connect();
+    const auto fourth = connect();
+    CHECK(run_until([&] { return second->IsDisconnected(); }));
+    CHECK(server.OpenConnections() == 3);
+    CHECK(server.ReplacedConnections() == 1);
+    CHECK_FALSE(first->IsDisconnected());
+    const auto is_answered = send(*first, 10);
+    CHECK(run_until([&] { return *is_answered; }));
+  }
+}
+
 TEST_CASE("A call to an address without a listener fails instead of waiting forever") {
   net::EventLoop loop;
   KjEventLoop kj_loop(loop);
