Limit the texts of an event in the time line

Callers saw: a qh-entry that ends because other clients send calls with long names of customers. Cause: each call adds an event with the name of its customer, also if there is no such customer; 20,000 events are kept, and a name may have 16 KB. Found by reading where bytes of strangers stay after their request.

Change: EventRing cuts each text to 256 bytes.

The cases of test_system_crowds now also wait until the processes have worked off what was sent, so that they measure at least what they did before.

--- a/libs/timeline/include/quetzalhinge/timeline/event_ring.h
+++ b/libs/timeline/include/quetzalhinge/timeline/event_ring.h
@@ -21,9 +21,14 @@
   bool Matches(const Event& event) const;
 };
 
-/** Ring buffer of the latest events of a process. */
+/**
+ * Ring buffer of the latest events of a process. Texts are cut to kMaxTextBytes, because some of
+ * them come from callers.
+ */
 class EventRing {
  public:
+  static constexpr std::size_t kMaxTextBytes = 256;
+
   /** @param capacity maximum number of events, at least 1 */
   explicit EventRing(std::size_t capacity);
 
--- a/libs/timeline/src/event_ring.cc
+++ b/libs/timeline/src/event_ring.cc
@@ -10,6 +10,13 @@
   return expected.empty() || expected == actual;
 }
 
+void CutText(std::string& text) {
+  if (text.size() > EventRing::kMaxTextBytes) {
+    // A new string, because resize() keeps the memory.
+    text = std::string(text, 0, EventRing::kMaxTextBytes);
+  }
+}
+
 }  // namespace
 
 bool EventFilter::Matches(const Event& event) const {
@@ -22,6 +29,10 @@
 EventRing::EventRing(std::size_t capacity) : m_capacity(std::max<std::size_t>(1, capacity)) {}
 
 void EventRing::Add(Event event) {
+  for (std::string* text : {&event.vm, &event.process, &event.kind, &event.request_id,
+                            &event.customer, &event.worker, &event.detail}) {
+    CutText(*text);
+  }
   if (m_events.size() < m_capacity) {
     m_events.push_back(std::move(event));
     return;
--- a/libs/timeline/test/test_timeline.cc
+++ b/libs/timeline/test/test_timeline.cc
@@ -27,6 +27,17 @@
   CHECK(holds);
 }
 
+// Guards against a process that runs out of memory because callers send long names.
+TEST_CASE("A ring cuts long texts") {
+  EventRing ring(1);
+  Event event;
+  event.customer = std::string(10'000, 'x');
+  ring.Add(event);
+  const std::vector<Event> events = ring.Select({});
+  REQUIRE(events.size() == 1);
+  CHECK(events.front().customer == std::string(EventRing::kMaxTextBytes, 'x'));
+}
+
 TEST_CASE("A ring keeps the newest events and filters them") {
   EventRing ring(3);
   HybridClock clock;
--- a/test/system/process_usage.cc
+++ b/test/system/process_usage.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::size_t kBytesPerKb = 1024;
+/** Smaller changes of a process that does nothing are normal. */
+constexpr std::size_t kNoticeableKb = 256;
+
 constexpr const char* kListening = "0A";
 
 /** Returns the value of a line like "VmRSS:  123 kB"; 0 without it. */
@@ -78,8 +81,17 @@
   // The peak of the resident size comes before the size itself.
   const std::size_t peak_kb = ReadKb(status, "VmHWM");
   const std::size_t resident_kb = ReadKb(status, "VmRSS");
+  const std::size_t memory_kb = resident_kb + unread_kb;
+  const std::size_t change_kb =
+      std::max(memory_kb, m_last_memory_kb) - std::min(memory_kb, m_last_memory_kb);
+  if (change_kb > kNoticeableKb) {
+    m_last_memory_kb = memory_kb;
+    m_steady_samples = 0;
+  } else {
+    ++m_steady_samples;
+  }
   m_peak_unread_kb = std::max(m_peak_unread_kb, unread_kb);
-  m_peak_memory_kb = std::max({m_peak_memory_kb, peak_kb, resident_kb + unread_kb});
+  m_peak_memory_kb = std::max({m_peak_memory_kb, peak_kb, memory_kb});
   m_peak_sockets = std::max(m_peak_sockets, CountSockets(m_folder));
 }
 
--- a/test/system/process_usage.h
+++ b/test/system/process_usage.h
@@ -23,6 +23,9 @@
   /** Takes a sample. Does nothing if the process has ended. */
   void Sample();
 
+  /** Returns the samples since the memory or the unread bytes last changed noticeably. */
+  int SteadySamples() const noexcept { return m_steady_samples; }
+
   std::size_t PeakMemoryKb() const noexcept { return m_peak_memory_kb; }
   std::size_t PeakUnreadKb() const noexcept { return m_peak_unread_kb; }
   std::size_t PeakSockets() const noexcept { return m_peak_sockets; }
@@ -31,6 +34,8 @@
   std::string m_folder;
   /** The addresses as they stand in /proc/net/tcp. */
   std::set<std::string> m_listeners;
+  std::size_t m_last_memory_kb = 0;
+  int m_steady_samples = 0;
   std::size_t m_peak_memory_kb = 0;
   std::size_t m_peak_unread_kb = 0;
   std::size_t m_peak_sockets = 0;
--- a/test/system/test_crowds.cc
+++ b/test/system/test_crowds.cc
@@ -31,8 +31,10 @@
 /** The two processes of a VM on a small machine, and what they use while a crowd is there. */
 class CrowdedDeployment {
  public:
-  explicit CrowdedDeployment(int max_descriptors = kManyDescriptors)
-      : m_max_descriptors(max_descriptors), m_deployment(OptionsOf(max_descriptors)) {
+  explicit CrowdedDeployment(int max_descriptors = kManyDescriptors, int memory_mb = kMemoryMb)
+      : m_max_descriptors(max_descriptors),
+        m_memory_mb(memory_mb),
+        m_deployment(OptionsOf(max_descriptors, memory_mb)) {
     m_deployment.StartAndServe(kCustomer);
     m_entry_usage = std::make_unique<ProcessUsage>(
         m_deployment.Entry(0).Pid(),
@@ -50,8 +52,9 @@
    * Lets `clients` send to `server`, and checks that both processes stay within their machine and
    * serve others while the crowd is there.
    */
-  void Meet(const IpEndpoint& server, int clients, const Crowd::MessageOf& message_of) {
-    const Crowd crowd(m_deployment.Loop(), server, clients, message_of);
+  void Meet(const IpEndpoint& server, int clients, const Crowd::MessageOf& message_of,
+            bool reads_responses = true) {
+    const Crowd crowd(m_deployment.Loop(), server, clients, message_of, reads_responses);
     int steps = 0;
     REQUIRE(m_deployment.WaitUntil(
         [&] {
@@ -61,6 +64,14 @@
           return crowd.HasSettled();
         },
         kSettleLimit));
+    // The processes may still work on what has been sent.
+    REQUIRE(m_deployment.WaitUntil(
+        [&] {
+          Sample();
+          return std::min(m_entry_usage->SteadySamples(), m_control_usage->SteadySamples()) >
+                 kSteadySamples;
+        },
+        kSettleLimit));
     CHECK(m_deployment.WaitUntil([&] {
       Sample();
       const http::HttpRequest call =
@@ -77,16 +88,18 @@
   }
 
  private:
+  static constexpr int kSteadySamples = 50;
+
   /** Allows for a busy machine. */
   static constexpr std::chrono::milliseconds kSettleLimit{60000};
 
-  static DeploymentOptions OptionsOf(int max_descriptors) {
+  static DeploymentOptions OptionsOf(int max_descriptors, int memory_mb) {
     DeploymentOptions options;
     options.subnet = kSubnet;
     options.vms = 1;
     options.services = {{"katalog", 3, 3}, {"panduan", 4, 20000}};
     options.extra_settings = "[callers]\nmax_body_bytes = " + std::to_string(kMaxBodyBytes) +
-                             "\n[limits]\nmemory_mb = " + std::to_string(kMemoryMb) +
+                             "\n[limits]\nmemory_mb = " + std::to_string(memory_mb) +
                              "\nmax_descriptors = " + std::to_string(max_descriptors) + "\n";
     return options;
   }
@@ -102,12 +115,13 @@
               << usage.PeakUnreadKb() << " KB at most, peak sockets " << usage.PeakSockets()
               << std::endl;
     CHECK(usage.PeakMemoryKb() > 0);
-    CHECK(usage.PeakMemoryKb() < kMemoryMb * kKilobyte);
+    CHECK(usage.PeakMemoryKb() < static_cast<std::size_t>(m_memory_mb) * kKilobyte);
     CHECK(usage.PeakSockets() <=
           static_cast<std::size_t>(m_max_descriptors - kReservedDescriptors));
   }
 
   int m_max_descriptors;
+  int m_memory_mb;
   TestDeployment m_deployment;
   std::unique_ptr<ProcessUsage> m_entry_usage;
   std::unique_ptr<ProcessUsage> m_control_usage;
@@ -169,6 +183,42 @@
   }
 }
 
+/** Returns `requests` pipelined calls of a customer without a contract. Each adds an event. */
+CrowdMessage CallsOfUnknownCustomer(const std::string& customer, std::uint64_t requests) {
+  CrowdMessage message;
+  message.block =
+      "GET /svc/katalog/price HTTP/1.1\r\nhost: a\r\nx-qh-customer: " + customer + "\r\n\r\n";
+  message.blocks = requests;
+  return message;
+}
+
+TEST_CASE("Calls with long names of customers", "[entry_events]") {
+  constexpr std::uint64_t kRequests = 200;
+  constexpr std::size_t kNameBytes = 12'000;
+  CrowdedDeployment vm;
+  vm.Meet(vm.Deployment().Callers(0), kBodyClients, [](int client) {
+    return CallsOfUnknownCustomer(std::to_string(client) + std::string(kNameBytes, 'x'), kRequests);
+  });
+}
+
+TEST_CASE("Time lines that are not read", "[entry_timeline]") {
+  constexpr std::uint64_t kRequests = 500;
+  // A time line is then larger than what the kernel buffers for a connection.
+  constexpr std::size_t kNameBytes = 230;
+  constexpr int kTimelineClients = 100;
+  constexpr int kLargerMemoryMb = 128;
+  CrowdedDeployment vm(kManyDescriptors, kLargerMemoryMb);
+  vm.Meet(vm.Deployment().Callers(0), kBodyClients, [](int client) {
+    return CallsOfUnknownCustomer(std::to_string(client) + std::string(kNameBytes, 'x'), kRequests);
+  });
+  vm.Meet(
+      vm.EndpointAt(kAdminPort), kTimelineClients,
+      [](int) {
+        return CrowdMessage{"GET /v1/timeline HTTP/1.1\r\nhost: a\r\n\r\n", "", 0, "", 1};
+      },
+      false);
+}
+
 TEST_CASE("Bodies at the operators' address", "[operators_bodies]") {
   constexpr int kClients = 400;
   CrowdedDeployment vm;
