Take stored keys and events off the memory for clients, and read the limits of a process in one place

qh-entry may hold 200,000 keys (335 B each by docs/CAPACITY.md, 400 counted) beside their responses, and both programs 20,000 events of up to 1 KB; CapacityOf() now gets these and leaves at least 16 MB for clients. At the defaults qh-entry has 116 MB for connections and messages in place of 212. ReadProcessLimits() of libs/settings replaces the same lines of two parsers. test_overload, test_vm_settings and test_gateway pass. By reading; a process with a full table of keys beside a crowd was not run.

--- a/apps/qh-control/src/control_context.h
+++ b/apps/qh-control/src/control_context.h
@@ -20,6 +20,8 @@
   net::EventLoop loop;
   rpc::KjEventLoop kj_loop{loop};
   metrics::MetricsRegistry metrics;
+  /** Memory of an event of the time line with long texts. */
+  static constexpr std::size_t kBytesPerEvent = 1000;
   overload::ProcessCapacity capacity;
   /** Limits the memory for requests from operators. */
   std::shared_ptr<http::MemoryBudget> message_memory;
@@ -29,7 +31,8 @@
 
   explicit ControlContext(vm_settings::EntryVmSettings vm)
       : settings(std::move(vm)),
-        capacity(overload::CapacityOf(settings.process_limits)),
+        capacity(overload::CapacityOf(settings.process_limits,
+                                      settings.timeline_capacity * kBytesPerEvent)),
         message_memory(std::make_shared<http::MemoryBudget>(capacity.messages)),
         overload_monitor(metrics, message_memory),
         events(settings.name, settings.timeline_capacity) {}
--- a/apps/qh-entry/src/entry_process.cc
+++ b/apps/qh-entry/src/entry_process.cc
@@ -1,6 +1,5 @@
 #include "entry_process.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "address_book.h"
@@ -41,14 +40,15 @@
           static_cast<std::uint32_t>(settings.home_slots)};
 }
 
-/** Limits of the process without the memory for the responses that are stored with keys. */
-limits::ProcessLimits LimitsWithoutKeys(const vm_settings::EntryVmSettings& settings) {
-  constexpr double kBytesPerMb = 1024.0 * 1024.0;
-  limits::ProcessLimits limits = settings.process_limits;
-  limits.memory_mb =
-      std::max(limits::kMinMemoryMb,
-               limits.memory_mb - static_cast<double>(settings.key_max_bytes) / kBytesPerMb);
-  return limits;
+/** Memory of a stored key without its response, and of an event of the time line with long texts.
+ */
+constexpr std::size_t kBytesPerKey = 400;
+constexpr std::size_t kBytesPerEvent = 1000;
+
+/** Returns the memory that stored keys and events may use. */
+std::size_t MemoryForRecords(const vm_settings::EntryVmSettings& settings) {
+  return settings.key_max_bytes + settings.key_capacity * kBytesPerKey +
+         settings.timeline_capacity * kBytesPerEvent;
 }
 
 }  // namespace
@@ -90,7 +90,7 @@
       : loop(event_loop),
         settings(vm_settings),
         started(event_loop.Now()),
-        capacity(overload::CapacityOf(LimitsWithoutKeys(vm_settings))),
+        capacity(overload::CapacityOf(vm_settings.process_limits, MemoryForRecords(vm_settings))),
         message_memory(std::make_shared<http::MemoryBudget>(capacity.messages)),
         overload_monitor(metrics, message_memory),
         events(vm_settings.name, "qh-entry", vm_settings.timeline_capacity),
--- a/libs/gateway/include/quetzalhinge/gateway/gateway_settings.h
+++ b/libs/gateway/include/quetzalhinge/gateway/gateway_settings.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "quetzalhinge/base/ip_endpoint.h"
-#include "quetzalhinge/limits/process_limits.h"
+#include "quetzalhinge/settings/process_limits.h"
 #include "quetzalhinge/settings/ini_document.h"
 
 namespace qh::gateway {
@@ -52,7 +52,7 @@
   std::chrono::milliseconds worker_drain{2000};
 
   /** Memory and descriptors of this process. */
-  limits::ProcessLimits process_limits;
+  settings::ProcessLimits process_limits;
 };
 
 /** The parsed settings and all problems found in them. */
--- a/libs/gateway/src/gateway_settings.cc
+++ b/libs/gateway/src/gateway_settings.cc
@@ -55,12 +55,7 @@
       reader.Time("stop", "grace", milliseconds(100), milliseconds(600000), settings.stop_grace);
   settings.worker_drain =
       reader.Time("workers", "drain", milliseconds(1), milliseconds(600000), settings.worker_drain);
-  limits::ProcessLimits& limits = settings.process_limits;
-  limits.memory_mb = reader.Number("limits", "memory_mb", limits::kMinMemoryMb,
-                                   limits::kMaxMemoryMb, limits.memory_mb);
-  limits.max_descriptors =
-      static_cast<int>(reader.Integer("limits", "max_descriptors", limits::kMinDescriptors,
-                                      limits::kMaxDescriptors, limits.max_descriptors));
+  settings.process_limits = settings::ReadProcessLimits(reader);
   result.problems = reader.Finish();
   return result;
 }
--- a/libs/overload/include/quetzalhinge/overload/process_capacity.h
+++ b/libs/overload/include/quetzalhinge/overload/process_capacity.h
@@ -3,7 +3,7 @@
 #include <cstddef>
 
 #include "quetzalhinge/http/memory_budget.h"
-#include "quetzalhinge/limits/process_limits.h"
+#include "quetzalhinge/settings/process_limits.h"
 
 namespace qh::overload {
 
@@ -26,7 +26,8 @@
 /**
  * Divides the limits of a process. docs/CAPACITY.md has the parts. A process that may open fewer
  * descriptors (RLIMIT_NOFILE) than the limits say is given capacity for those.
+ * @param other_bytes memory that the process may use for other things than connections and messages
  */
-ProcessCapacity CapacityOf(const limits::ProcessLimits& limits);
+ProcessCapacity CapacityOf(const settings::ProcessLimits& limits, std::size_t other_bytes = 0);
 
 }  // namespace qh::overload
--- a/libs/overload/src/process_capacity.cc
+++ b/libs/overload/src/process_capacity.cc
@@ -12,6 +12,9 @@
 /** Memory of the program itself with the configuration of a large deployment. */
 constexpr double kProgramMb = 16;
 
+/** Memory that clients may use at least. */
+constexpr double kMinClientMb = settings::kMinMemoryMb - kProgramMb;
+
 /** Parts of the memory beside the program that messages may use; see MemoryBudgetOptions. */
 constexpr double kMessagesShare = 0.68;
 constexpr double kLargeResponsesShare = 0.655;
@@ -33,19 +36,22 @@
 
 std::size_t ToCount(double value) { return static_cast<std::size_t>(std::max(1.0, value)); }
 
-double OpenableDescriptors() {
+/** Returns the lower one of `max_descriptors` and the limit of the operating system. */
+double OpenableDescriptors(int max_descriptors) {
   rlimit limit{};
-  return getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY
-             ? static_cast<double>(limit.rlim_cur)
-             : static_cast<double>(limits::kMaxDescriptors);
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
+    return max_descriptors;
+  }
+  return std::min<double>(max_descriptors, static_cast<double>(limit.rlim_cur));
 }
 
 }  // namespace
 
-ProcessCapacity CapacityOf(const limits::ProcessLimits& limits) {
-  const double memory = (limits.memory_mb - kProgramMb) * kBytesPerMb;
-  const double sockets =
-      std::min<double>(limits.max_descriptors, OpenableDescriptors()) - kReservedDescriptors;
+ProcessCapacity CapacityOf(const settings::ProcessLimits& limits, std::size_t other_bytes) {
+  const double memory =
+      std::max((limits.memory_mb - kProgramMb) * kBytesPerMb - static_cast<double>(other_bytes),
+               kMinClientMb * kBytesPerMb);
+  const double sockets = OpenableDescriptors(limits.max_descriptors) - kReservedDescriptors;
   ProcessCapacity capacity;
   capacity.messages = {ToCount(kMessagesShare * memory), ToCount(kLargeResponsesShare * memory),
                        ToCount(kLargeRequestsShare * memory)};
--- a/libs/settings/include/quetzalhinge/settings/process_limits.h
+++ b/libs/settings/include/quetzalhinge/settings/process_limits.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <cstddef>
+#include "quetzalhinge/settings/settings_reader.h"
 
-namespace qh::limits {
+namespace qh::settings {
 
 /** What the machine allows one process. */
 struct ProcessLimits {
@@ -12,10 +12,11 @@
   int max_descriptors = 4100;
 };
 
-/** Ranges of the settings that set ProcessLimits. */
+/** Smallest memory and number of descriptors with which the programs can work. */
 inline constexpr double kMinMemoryMb = 32;
-inline constexpr double kMaxMemoryMb = 1024.0 * 1024.0;
 inline constexpr int kMinDescriptors = 256;
-inline constexpr int kMaxDescriptors = 10'000'000;
 
-}  // namespace qh::limits
+/** Reads [limits] memory_mb and max_descriptors and checks their ranges. */
+ProcessLimits ReadProcessLimits(SettingsReader& reader);
+
+}  // namespace qh::settings
--- a/libs/vm_settings/include/quetzalhinge/vm_settings/entry_vm_settings.h
+++ b/libs/vm_settings/include/quetzalhinge/vm_settings/entry_vm_settings.h
@@ -7,7 +7,7 @@
 
 #include "quetzalhinge/base/enum_table.h"
 #include "quetzalhinge/base/ip_endpoint.h"
-#include "quetzalhinge/limits/process_limits.h"
+#include "quetzalhinge/settings/process_limits.h"
 #include "quetzalhinge/settings/ini_document.h"
 
 namespace qh::vm_settings {
@@ -94,7 +94,7 @@
    * [limits] memory_mb and max_descriptors: limits of each of the two processes, default 260 MiB
    * and 4,100.
    */
-  limits::ProcessLimits process_limits;
+  settings::ProcessLimits process_limits;
 
   /** [routing] policy: how workers are selected, default load_aware. */
   RoutingPolicy policy = RoutingPolicy::kLoadAware;
--- a/libs/vm_settings/src/entry_vm_settings.cc
+++ b/libs/vm_settings/src/entry_vm_settings.cc
@@ -89,12 +89,7 @@
       reader.Integer("limits", "home_slots", 1, kMaxEntryVms, settings.home_slots));
   settings.queue_length =
       static_cast<int>(reader.Integer("limits", "queue_length", 0, 100000, settings.queue_length));
-  limits::ProcessLimits& limits = settings.process_limits;
-  limits.memory_mb = reader.Number("limits", "memory_mb", limits::kMinMemoryMb,
-                                   limits::kMaxMemoryMb, limits.memory_mb);
-  limits.max_descriptors =
-      static_cast<int>(reader.Integer("limits", "max_descriptors", limits::kMinDescriptors,
-                                      limits::kMaxDescriptors, limits.max_descriptors));
+  settings.process_limits = settings::ReadProcessLimits(reader);
   settings.policy = reader.Choice("routing", "policy", kRoutingPolicyNames,
                                   std::optional<RoutingPolicy>(settings.policy));
   settings.connections_per_worker = static_cast<int>(
