Count the answers that a process makes itself

Callers saw: a qh-entry that ends because other clients ask for its time line many times and do not read it. Cause: only responses of workers brought a reservation of memory along; answers of the process itself (time line, metrics, rows for other VMs, stored responses) waited in write queues uncounted. 86 time lines of 8 MB were held at once.

Change: ConnectionServer reserves the body of each response until it is sent. Without memory for it the connection is closed, which says nothing about whether a request has run.

What the kernel has taken over for sending is not counted.

--- a/libs/http/include/quetzalhinge/http/body.h
+++ b/libs/http/include/quetzalhinge/http/body.h
@@ -39,9 +39,12 @@
   /** Appends `bytes`. The body must have no copies. */
   void Append(std::string_view bytes);
 
-  /** Keeps `object` as long as any copy of the body exists. The body must have no copies. */
+  /** Keeps `object`, such as a reservation of memory, as long as any copy of the body exists. */
   void Keep(std::shared_ptr<const void> object);
 
+  /** Returns whether the body keeps an object. */
+  bool HasKept() const noexcept;
+
   /** Returns an object that keeps Bytes() valid. */
   std::shared_ptr<const void> Owner() const noexcept { return m_content; }
 
--- a/libs/http/src/body.cc
+++ b/libs/http/src/body.cc
@@ -74,6 +74,8 @@
   content.size += bytes.size();
 }
 
+bool Body::HasKept() const noexcept { return m_content != nullptr && m_content->kept != nullptr; }
+
 void Body::Keep(std::shared_ptr<const void> object) { OwnContent().kept = std::move(object); }
 
 Body::Content& Body::OwnContent() {
--- a/libs/http/src/connection_server_impl.h
+++ b/libs/http/src/connection_server_impl.h
@@ -117,6 +117,11 @@
   void ParseBufferedRequests();
   void ReadNextRequest();
 
+  /**
+   * Reserves memory for the body of a response until it is sent, unless the body brings its
+   * reservation along. Returns false if there is no memory.
+   */
+  bool ReserveMemoryFor(Body& body) const;
   void DispatchRequest();
   void Refuse(Refusal refusal);
 
--- a/libs/http/src/server_connection.cc
+++ b/libs/http/src/server_connection.cc
@@ -196,7 +196,12 @@
   const auto self = shared_from_this();
   m_exchange.reset();
   m_wait_started = m_server.loop.Now();
-  const Body body = is_head ? Body() : response.body;
+  Body body = is_head ? Body() : response.body;
+  if (!ReserveMemoryFor(body)) {
+    // Says nothing about whether the request has run.
+    CloseNow();
+    return;
+  }
   m_tcp->Write(SerializeHead(response, response.close_connection), {body.Bytes(), body.Owner()});
   if (response.close_connection) {
     m_unparsed.clear();
@@ -208,6 +213,20 @@
   }
 }
 
+bool ConnectionServer::Impl::Connection::ReserveMemoryFor(Body& body) const {
+  const std::shared_ptr<MemoryBudget>& budget = m_server.limits.message.memory_budget;
+  if (budget == nullptr || body.empty() || body.HasKept()) {
+    return true;
+  }
+  auto memory = std::make_shared<MemoryReservation>(budget, MessageKind::kResponse, [] {});
+  if (!memory->Resize(body.capacity())) {
+    return false;
+  }
+  memory->Complete();
+  body.Keep(std::move(memory));
+  return true;
+}
+
 void ConnectionServer::Impl::Connection::ReadNextRequest() {
   m_tcp->SetReading(true);
   if (!m_unparsed.empty()) {
