Run the idle time-out only while a response makes no progress

Callers saw: a long answer that they read slowly but steadily is cut when the idle time-out has passed since it was queued (found by the review, no case of its own), and a client that asks to close the connection and then does not read keeps its connection, and a slot of the new limit on connections, for as long as it likes. Cause: the wait began when the response was queued, and a closing connection had no time-out while bytes were queued.

Change: TcpConnection::QueuedBytes() is what libuv has not yet written, and each change of it restarts the time-out, also of a closing connection. A connection that sends a response is replaced by a new one only if there is no other to close.

--- a/libs/http/include/quetzalhinge/http/connection_server.h
+++ b/libs/http/include/quetzalhinge/http/connection_server.h
@@ -21,12 +21,16 @@
   ReaderLimits message;
   /** Time-out from the first byte of a request to the end of its head. */
   std::chrono::milliseconds head_timeout{3000};
-  /** Time-out of a connection without a request, and between two reads of a request body. */
+  /**
+   * Time-out of a connection without a request, between two reads of a request body, and of a
+   * response of which the peer reads nothing more.
+   */
   std::chrono::milliseconds idle_timeout{15000};
   /**
    * Number of connections at which a new one replaces others: connections without a request in
-   * progress, first those that have never completed a request, the longest without progress first.
-   * If there is none, the new one is closed.
+   * progress, first those that have never completed a request, the longest without progress first,
+   * and one that sends a response only if there is no other. If there is none, the new one is
+   * closed.
    */
   std::size_t max_connections = std::numeric_limits<std::size_t>::max();
   /**
--- a/libs/http/src/connection_server.cc
+++ b/libs/http/src/connection_server.cc
@@ -55,9 +55,12 @@
                     replaceable.end(),
                     [](const auto& a, const auto& b) { return a->IsReplacedBefore(*b); });
   for (std::size_t i = 0; i < count; ++i) {
-    replaceable[i]->CloseNow();
+    // A response is cut only if there is nothing else to close.
+    if (i == 0 || !replaceable[i]->IsSending()) {
+      replaceable[i]->CloseNow();
+      ++closed.replaced;
+    }
   }
-  closed.replaced += count;
 }
 
 void ConnectionServer::Impl::Sweep() {
--- a/libs/http/src/connection_server_impl.h
+++ b/libs/http/src/connection_server_impl.h
@@ -68,11 +68,17 @@
   bool IsOpen() const { return m_tcp != nullptr && m_tcp->IsOpen(); }
   bool IsIdle() const { return m_exchange.expired() && !m_lingering && !m_reader.IsStarted(); }
 
-  /** Returns whether no request is in progress and no response waits to be sent. */
-  bool IsReplaceable() const { return m_exchange.expired() && QueuedBytes() == 0; }
+  /** Returns whether no request is in progress. */
+  bool IsReplaceable() const { return m_exchange.expired(); }
+
+  /** Returns whether a response waits to be sent. */
+  bool IsSending() const { return QueuedBytes() > 0; }
 
   /** Returns whether this connection is to be closed before `other` to make room. */
   bool IsReplacedBefore(const Connection& other) const {
+    if (IsSending() != other.IsSending()) {
+      return !IsSending();
+    }
     return m_has_served != other.m_has_served ? !m_has_served
                                               : m_wait_started < other.m_wait_started;
   }
@@ -82,6 +88,7 @@
   void OnBytes(std::string_view bytes) override;
   void OnEnd(net::TcpEnd end, const Error& error) override;
   void OnAllWritten() override {
+    m_wait_started = m_server.loop.Now();
     if (MayReadRequest()) {
       ReadNextRequest();
     }
@@ -151,6 +158,8 @@
   std::weak_ptr<Exchange> m_exchange;
   /** Start of the wait that CheckTimeouts() limits. */
   TimePoint m_wait_started;
+  /** Bytes of responses that waited to be sent at the last check. */
+  std::size_t m_checked_queued_bytes = 0;
   bool m_continue_sent = false;
   /** Whether a complete request was read. */
   bool m_has_served = false;
--- a/libs/http/src/server_connection.cc
+++ b/libs/http/src/server_connection.cc
@@ -254,9 +254,15 @@
   if (!m_exchange.expired()) {
     return;
   }
+  // A response that is being sent may take any time, as long as the peer reads it.
+  const std::size_t queued_bytes = QueuedBytes();
+  if (queued_bytes > 0 && queued_bytes != m_checked_queued_bytes) {
+    m_wait_started = now;
+  }
+  m_checked_queued_bytes = queued_bytes;
   const Duration elapsed = now - m_wait_started;
   if (m_lingering) {
-    if (elapsed > kLingeringCloseTimeout && m_tcp->QueuedBytes() == 0) {
+    if (elapsed > (queued_bytes == 0 ? kLingeringCloseTimeout : m_server.limits.idle_timeout)) {
       CloseNow();
     }
     return;
--- a/libs/http/test/test_connections.cc
+++ b/libs/http/test/test_connections.cc
@@ -6,7 +6,9 @@
 
 #include "quetzalhinge/http/client_connection.h"
 #include "quetzalhinge/http/connection_server.h"
+#include "quetzalhinge/net/tcp_connection.h"
 #include "quetzalhinge/net/tcp_listener.h"
+#include "quetzalhinge/net/timer.h"
 #include "scripted_peer.h"
 
 namespace qh::http {
@@ -275,4 +277,56 @@
   }
 }
 
+namespace {
+
+/** A client that sends one request and reads the response slowly, or not at all. */
+class SlowReader : public net::TcpObserver {
+ public:
+  SlowReader(net::EventLoop& loop, const IpEndpoint& server, bool reads)
+      : m_tcp(loop, server, *this), m_resume(loop, [this] { m_tcp.SetReading(true); }) {
+    m_tcp.SetReading(reads);
+    m_tcp.Write("GET /a HTTP/1.1\r\nhost: a\r\n\r\n");
+  }
+  void OnBytes(std::string_view bytes) override {
+    m_received += bytes.size();
+    m_tcp.SetReading(false);
+    m_resume.StartOnce(2ms);
+  }
+  void OnEnd(net::TcpEnd /*end*/, const Error& /*error*/) override { m_ended = true; }
+  std::size_t Received() const { return m_received; }
+  bool HasEnded() const { return m_ended; }
+
+ private:
+  std::size_t m_received = 0;
+  bool m_ended = false;
+  net::TcpConnection m_tcp;
+  net::Timer m_resume;
+};
+
+}  // namespace
+
+// Guards against a response that is cut while its peer still reads it.
+SCENARIO("The idle time-out runs while a response makes no progress") {
+  constexpr std::size_t kResponseBytes = 24'000'000;
+  net::EventLoop loop;
+  ConnectionLimits limits;
+  limits.idle_timeout = 600ms;
+  ConnectionServer server(loop, limits, [&](const std::shared_ptr<ServerExchange>& exchange) {
+    exchange->Respond({200, {}, std::string(kResponseBytes, 'x'), false});
+  });
+  REQUIRE(IsOk(server.Listen({"127.0.0.1", 0})));
+  WHEN("the peer reads slowly") {
+    const SlowReader reader(loop, server.LocalEndpoint(), true);
+    RunUntil(loop, [&] { return reader.Received() > kResponseBytes || reader.HasEnded(); });
+    THEN("it gets the whole response") { CHECK(reader.Received() > kResponseBytes); }
+  }
+  WHEN("the peer does not read") {
+    const SlowReader reader(loop, server.LocalEndpoint(), false);
+    RunUntil(loop, [&] { return server.OpenConnections() == 1; });
+    THEN("the connection is closed") {
+      RunUntil(loop, [&] { return server.OpenConnections() == 0; });
+    }
+  }
+}
+
 }  // namespace qh::http
--- a/libs/net/src/tcp_connection.cc
+++ b/libs/net/src/tcp_connection.cc
@@ -62,12 +62,13 @@
   TcpObserver* observer = nullptr;
   IpEndpoint peer;
   std::vector<std::unique_ptr<WriteRequest>> queued_before_connect;
-  std::size_t queued_bytes = 0;
   bool connected = false;
   bool open = true;
   bool finish_writing = false;
   bool reading = true;
 
+  std::size_t QueuedBytes() { return uv_stream_get_write_queue_size(Stream()); }
+
   uv_stream_t* Stream() { return reinterpret_cast<uv_stream_t*>(&handle); }
 
   void ConfigureSocket() {
@@ -101,18 +102,15 @@
     const std::size_t size = write->Size();
     std::array<uv_buf_t, 2> buffers = write->Buffers(0);
     const unsigned count = write->more.bytes.empty() ? 1 : 2;
-    const int tried = queued_bytes == 0 ? uv_try_write(Stream(), buffers.data(), count) : 0;
+    const int tried = QueuedBytes() == 0 ? uv_try_write(Stream(), buffers.data(), count) : 0;
     const auto written = static_cast<std::size_t>(std::max(0, tried));
     if (written == size) {
       return;
     }
     buffers = write->Buffers(written);
     write->request.data = write.get();
-    queued_bytes += size;
     const int status = uv_write(&write->request, Stream(), buffers.data(), count, OnWritten);
-    if (status != 0) {
-      queued_bytes -= size;
-    } else {
+    if (status == 0) {
       // OnWritten() deletes it.
       static_cast<void>(write.release());
     }
@@ -162,13 +160,12 @@
   static void OnWritten(uv_write_t* request, int status) {
     std::unique_ptr<WriteRequest> write(static_cast<WriteRequest*>(request->data));
     auto* impl = static_cast<Impl*>(request->handle->data);
-    impl->queued_bytes -= write->Size();
     if (impl->observer == nullptr) {
       return;
     }
     if (status != 0) {
       impl->End(TcpEnd::kBroken, "write", status);
-    } else if (impl->queued_bytes == 0) {
+    } else if (impl->QueuedBytes() == 0) {
       impl->observer->OnAllWritten();
     }
   }
@@ -255,7 +252,7 @@
 bool TcpConnection::IsOpen() const noexcept { return m_impl->open; }
 
 std::size_t TcpConnection::QueuedBytes() const noexcept {
-  std::size_t bytes = m_impl->queued_bytes;
+  std::size_t bytes = m_impl->QueuedBytes();
   for (const auto& write : m_impl->queued_before_connect) {
     bytes += write->Size();
   }
