Let large requests that have stalled give way first

Callers would see: a large request of their own is refused as long as other clients keep connections open on which they have stopped within bodies of nearly the same size; each of these holds its memory until the idle time-out. Cause: the largest message gives way, whoever still sends. By reading; no run of real processes shows it.

Change: among messages above 64 KB, those that have not grown for a second give way before any other.

--- a/libs/http/include/quetzalhinge/http/memory_budget.h
+++ b/libs/http/include/quetzalhinge/http/memory_budget.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <set>
+#include <utility>
 
+#include "quetzalhinge/base/time.h"
 #include "quetzalhinge/http/http_message.h"
 
 namespace qh::http {
@@ -27,18 +30,27 @@
  * that are complete until the last copy is destroyed.
  *
  * When it is used up, the largest message that is being read is rejected, so that peers that send
- * without end do not keep small messages from being read. Requests give way to responses, whose
- * work is done. Complete messages are never rejected.
+ * without end do not keep small messages from being read; first among the large ones that have not
+ * grown for kStalledAfter, so that peers that stop within a message do not keep large messages of
+ * others from being read. Requests give way to responses, whose work is done. Complete messages are
+ * never rejected.
  */
 class MemoryBudget {
  public:
   /** Size up to which a message may use the part of the budget that is kept for small ones. */
   static constexpr std::size_t kMaxSmallMessage = 64 * 1024;
 
-  explicit MemoryBudget(const MemoryBudgetOptions& options) noexcept : m_options(options) {}
+  /** Time without growth after which a message counts as stalled. */
+  static constexpr std::chrono::milliseconds kStalledAfter{1000};
+
+  using Clock = std::function<TimePoint()>;
+
+  /** @param clock returns the current time; replaced in tests */
+  explicit MemoryBudget(const MemoryBudgetOptions& options, Clock clock = SteadyNow)
+      : m_options(options), m_clock(std::move(clock)) {}
 
   /** Creates a budget with one limit for all messages. */
-  explicit MemoryBudget(std::size_t max_bytes) noexcept
+  explicit MemoryBudget(std::size_t max_bytes)
       : MemoryBudget(MemoryBudgetOptions{max_bytes, max_bytes, max_bytes}) {}
   MemoryBudget(const MemoryBudget&) = delete;
   MemoryBudget& operator=(const MemoryBudget&) = delete;
@@ -71,8 +83,10 @@
   }
   Usage& Of(MessageKind kind) noexcept { return m_usage[static_cast<std::size_t>(kind)]; }
   std::size_t MaxReservedFor(MessageKind kind, std::size_t message_bytes) const noexcept;
+  static TimePoint SteadyNow() { return std::chrono::steady_clock::now(); }
 
   MemoryBudgetOptions m_options;
+  Clock m_clock;
   std::array<Usage, 2> m_usage;
   /** The messages that are being read and use any memory. */
   std::set<MemoryReservation*> m_reading;
@@ -103,12 +117,16 @@
 
  private:
   void SetSize(std::size_t bytes);
-  MemoryReservation* LargestToRevoke();
+  MemoryReservation* FirstToRevoke();
+
+  /** Returns whether this message is to be rejected before `other`. */
+  bool GivesWayBefore(const MemoryReservation& other, TimePoint now) const;
 
   std::shared_ptr<MemoryBudget> m_budget;
   MessageKind m_kind;
   std::function<void()> m_on_revoked;
   std::size_t m_bytes = 0;
+  TimePoint m_grown_at{};
 };
 
 }  // namespace qh::http
--- a/libs/http/src/memory_budget.cc
+++ b/libs/http/src/memory_budget.cc
@@ -20,9 +20,10 @@
 MemoryReservation::~MemoryReservation() { SetSize(0); }
 
 bool MemoryReservation::Resize(std::size_t bytes) {
+  m_grown_at = m_budget->m_clock();
   SetSize(bytes);
   while (bytes > 0 && m_budget->Reserved() > m_budget->MaxReservedFor(m_kind, bytes)) {
-    MemoryReservation* const rejected = LargestToRevoke();
+    MemoryReservation* const rejected = FirstToRevoke();
     ++m_budget->Of(rejected->m_kind).rejected;
     rejected->SetSize(0);
     if (rejected == this) {
@@ -35,17 +36,29 @@
   return true;
 }
 
-MemoryReservation* MemoryReservation::LargestToRevoke() {
+MemoryReservation* MemoryReservation::FirstToRevoke() {
+  const TimePoint now = m_budget->m_clock();
   // Of messages of the same size, the one that grows is rejected.
-  MemoryReservation* largest = this;
+  MemoryReservation* first = this;
   for (MemoryReservation* const reservation : m_budget->m_reading) {
     const bool may_be_revoked =
         reservation->m_kind == MessageKind::kRequest || m_kind == MessageKind::kResponse;
-    if (may_be_revoked && reservation->m_bytes > largest->m_bytes) {
-      largest = reservation;
+    if (may_be_revoked && reservation->GivesWayBefore(*first, now)) {
+      first = reservation;
     }
   }
-  return largest;
+  return first;
+}
+
+bool MemoryReservation::GivesWayBefore(const MemoryReservation& other, TimePoint now) const {
+  const auto is_stalled = [now](const MemoryReservation& reservation) {
+    return reservation.m_bytes > MemoryBudget::kMaxSmallMessage &&
+           now - reservation.m_grown_at > MemoryBudget::kStalledAfter;
+  };
+  if (is_stalled(*this) != is_stalled(other)) {
+    return is_stalled(*this);
+  }
+  return m_bytes > other.m_bytes;
 }
 
 void MemoryReservation::Complete() {
--- a/libs/http/test/test_memory_budget.cc
+++ b/libs/http/test/test_memory_budget.cc
@@ -73,4 +73,37 @@
   }
 }
 
+// Guards against large requests of ordinary callers that are refused as long as other clients keep
+// connections open on which they have stopped within a body.
+SCENARIO("Large messages that have stalled give way first") {
+  TimePoint now{};
+  const auto budget = std::make_shared<MemoryBudget>(
+      MemoryBudgetOptions{3 * kLarge, 3 * kLarge, 3 * kLarge}, [&now] { return now; });
+  Message stalled(budget, MessageKind::kRequest);
+  Message stalled_small(budget, MessageKind::kRequest);
+  REQUIRE(stalled.memory.Resize(kLarge));
+  REQUIRE(stalled_small.memory.Resize(kSmall));
+  now += 2 * MemoryBudget::kStalledAfter;
+  Message largest(budget, MessageKind::kRequest);
+  REQUIRE(largest.memory.Resize(3 * kLarge / 2));
+  Message growing(budget, MessageKind::kRequest);
+  WHEN("another message needs the memory of one of them") {
+    REQUIRE(growing.memory.Resize(kLarge));
+    THEN("the stalled one is rejected although there is a larger one") {
+      CHECK(stalled.is_revoked);
+      CHECK_FALSE(largest.is_revoked);
+      CHECK_FALSE(stalled_small.is_revoked);
+    }
+  }
+  WHEN("more is needed than the stalled one has") {
+    REQUIRE(growing.memory.Resize(kLarge));
+    Message last(budget, MessageKind::kRequest);
+    CHECK(last.memory.Resize(kLarge));
+    THEN("the largest one is rejected next") {
+      CHECK(largest.is_revoked);
+      CHECK_FALSE(growing.is_revoked);
+    }
+  }
+}
+
 }  // namespace qh::http
