--- a/libs/http/include/quetzalhinge/http/body.h
+++ b/libs/http/include/quetzalhinge/http/body.h
@@ -51,7 +51,8 @@
   /** Compares with another body or with any text. */
   template <typename Text>
   friend bool operator==(const Body& body, const Text& text) {
-    return body.Bytes() == std::string_view(text);
+    const std::string_view other = text;
+    return body.Bytes() == other;
   }
 
  private:
--- a/libs/http/src/body.cc
+++ b/libs/http/src/body.cc
@@ -43,8 +43,8 @@
   }
 }
 
-Body::Body(const std::string& bytes) : Body(std::string_view(bytes)) {}
-Body::Body(const char* bytes) : Body(std::string_view(bytes)) {}
+Body::Body(const std::string& bytes) : Body(std::string_view{bytes}) {}
+Body::Body(const char* bytes) : Body(std::string_view{bytes}) {}
 
 std::string_view Body::Bytes() const noexcept {
   return m_content == nullptr ? std::string_view()
--- a/libs/overload/src/process_capacity.cc
+++ b/libs/overload/src/process_capacity.cc
@@ -16,12 +16,12 @@
 constexpr double kMinClientMb = settings::kMinMemoryMb - kProgramMb;
 
 /** Parts of the memory beside the program that messages may use; see MemoryBudgetOptions. */
-constexpr double kMessagesShare = 0.68;
-constexpr double kLargeResponsesShare = 0.655;
+constexpr double kMessagesShare = 0.67;
+constexpr double kLargeResponsesShare = 0.65;
 constexpr double kLargeRequestsShare = 0.45;
 
 /** Memory beside the program for one connection of each kind. */
-constexpr double kBytesPerCallerConnection = 320.0 * 1024;
+constexpr double kBytesPerCallerConnection = 336.0 * 1024;
 constexpr double kBytesPerOtherConnection = 1024.0 * 1024;
 
 constexpr std::size_t kCallerReceiveBuffer = 32 * 1024;
--- a/libs/overload/test/test_process_capacity.cc
+++ b/libs/overload/test/test_process_capacity.cc
@@ -29,10 +29,8 @@
   const ProcessCapacity capacity = CapacityOf({memory_mb, descriptors});
 
   THEN("messages, connections and unread bytes together fit into the memory") {
-    const std::size_t connections = capacity.callers.max_connections *
-                                        (capacity.callers.receive_buffer_bytes + kConnectionBytes) +
-                                    kOtherListeners * capacity.others.max_connections *
-                                        (capacity.others.receive_buffer_bytes + kConnectionBytes);
+    const std::size_t connections =
+        MemoryOf(capacity.callers) + kOtherListeners * MemoryOf(capacity.others);
     CHECK(kProgramBytes + capacity.messages.max_bytes + connections <=
           static_cast<std::size_t>(memory_mb * kMegabyte));
   }
--- a/test/system/test_deployment.cc
+++ b/test/system/test_deployment.cc
@@ -43,7 +43,7 @@
   response.outcome = HeaderOrEmpty(http_response.headers, "x-qh-outcome");
   response.code = HeaderOrEmpty(http_response.headers, "x-qh-code");
   response.headers = std::move(http_response.headers);
-  response.body = std::move(http_response.body);
+  response.body = std::string(http_response.body);
   return response;
 }
 
