--- a/apps/qh-control/src/control_context.h
+++ b/apps/qh-control/src/control_context.h
@@ -20,8 +20,6 @@
   net::EventLoop loop;
   rpc::KjEventLoop kj_loop{loop};
   metrics::MetricsRegistry metrics;
-  /** Memory of an event of the time line with long texts. */
-  static constexpr std::size_t kBytesPerEvent = 1000;
   overload::ProcessCapacity capacity;
   /** Limits the memory for requests from operators. */
   std::shared_ptr<http::MemoryBudget> message_memory;
@@ -31,8 +29,9 @@
 
   explicit ControlContext(vm_settings::EntryVmSettings vm)
       : settings(std::move(vm)),
-        capacity(overload::CapacityOf(settings.process_limits,
-                                      settings.timeline_capacity * kBytesPerEvent)),
+        capacity(overload::CapacityOf(
+            settings.process_limits,
+            settings.timeline_capacity * timeline::EventRing::kLongEventBytes)),
         message_memory(std::make_shared<http::MemoryBudget>(capacity.messages)),
         overload_monitor(metrics, message_memory),
         events(settings.name, settings.timeline_capacity) {}
--- a/apps/qh-entry/src/entry_process.cc
+++ b/apps/qh-entry/src/entry_process.cc
@@ -40,15 +40,13 @@
           static_cast<std::uint32_t>(settings.home_slots)};
 }
 
-/** Memory of a stored key without its response, and of an event of the time line with long texts.
- */
+/** Memory of a stored key without its response. */
 constexpr std::size_t kBytesPerKey = 400;
-constexpr std::size_t kBytesPerEvent = 1000;
 
 /** Returns the memory that stored keys and events may use. */
 std::size_t MemoryForRecords(const vm_settings::EntryVmSettings& settings) {
   return settings.key_max_bytes + settings.key_capacity * kBytesPerKey +
-         settings.timeline_capacity * kBytesPerEvent;
+         settings.timeline_capacity * timeline::EventRing::kLongEventBytes;
 }
 
 }  // namespace
--- a/libs/timeline/include/quetzalhinge/timeline/event_ring.h
+++ b/libs/timeline/include/quetzalhinge/timeline/event_ring.h
@@ -29,6 +29,9 @@
  public:
   static constexpr std::size_t kMaxTextBytes = 256;
 
+  /** Memory of an event that has the longest texts of a caller and of a worker. */
+  static constexpr std::size_t kLongEventBytes = 4 * kMaxTextBytes;
+
   /** @param capacity maximum number of events, at least 1 */
   explicit EventRing(std::size_t capacity);
 
