--- a/libs/gateway/include/quetzalhinge/gateway/gateway_settings.h
+++ b/libs/gateway/include/quetzalhinge/gateway/gateway_settings.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "quetzalhinge/base/ip_endpoint.h"
-#include "quetzalhinge/settings/process_limits.h"
 #include "quetzalhinge/settings/ini_document.h"
+#include "quetzalhinge/settings/process_limits.h"
 
 namespace qh::gateway {
 
--- a/libs/vm_settings/include/quetzalhinge/vm_settings/entry_vm_settings.h
+++ b/libs/vm_settings/include/quetzalhinge/vm_settings/entry_vm_settings.h
@@ -7,8 +7,8 @@
 
 #include "quetzalhinge/base/enum_table.h"
 #include "quetzalhinge/base/ip_endpoint.h"
-#include "quetzalhinge/settings/process_limits.h"
 #include "quetzalhinge/settings/ini_document.h"
+#include "quetzalhinge/settings/process_limits.h"
 
 namespace qh::vm_settings {
 
