Move the raw sockets of the system tests to libs/testing

The tests of libs/net and libs/http need them too, for connections whose end the test controls. No change of a function; the system tests build as before.

--- a/test/system/raw_socket.cc
+++ b/libs/testing/src/raw_socket.cc
@@ -1,4 +1,4 @@
-#include "raw_socket.h"
+#include "quetzalhinge/testing/raw_socket.h"
 
 #include <arpa/inet.h>
 #include <poll.h>
--- a/test/system/scripted_worker.cc
+++ b/test/system/scripted_worker.cc
@@ -12,7 +12,7 @@
 #include <thread>
 #include <utility>
 
-#include "raw_socket.h"
+#include "quetzalhinge/testing/raw_socket.h"
 
 namespace qh::test {
 namespace {
--- a/test/system/test_bad_input.cc
+++ b/test/system/test_bad_input.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "bad_inputs.h"
-#include "raw_socket.h"
+#include "quetzalhinge/testing/raw_socket.h"
 #include "test_deployment.h"
 
 namespace qh::test {
