Tell a reset connection from one that its peer has closed

Cause: TcpConnection reported every UV_EOF as the peer's end. libuv also reports it when the socket has hung up and the last read did not fill the buffer, which a reset causes as well. A write that fails before the read takes the error of the socket with it, and the read then reports an end too. MessageReader completes a response without a length at that end.

Change: at UV_EOF the connection asks the socket how its bytes have ended (stream_end.h): a pending error, the error that a failed write has taken, or a closed socket without a FIN mean a reset. A reset that follows the peer's FIN (EPIPE) and an end after our own FIN stay proper ends. It holds for all users of TcpConnection: requests and probes of qh-gateway, the responses of the store and of peers.

--- a/libs/gateway/test/call_fixture.h
+++ b/libs/gateway/test/call_fixture.h
@@ -60,6 +60,11 @@
   kEndlessBody,
   /** Sends a response with status 000, then one with status 200 on the same connection. */
   kStatusZero,
+  /**
+   * Sends a part of a response without a length and resets the connection, both before it has read
+   * the body of the request.
+   */
+  kResetDuringUpload,
   /** Sends a refusal of an earlier probe once more, then serves the request. */
   kRepeatOldRefusal,
   kCloseConnection,
@@ -121,6 +126,16 @@
 
     void OnBytes(std::string_view bytes) override {
       reader.Read(bytes);
+      if (worker.behaviour == Behaviour::kResetDuringUpload && reader.IsHeadComplete() &&
+          !reader.IsComplete()) {
+        worker.executed.push_back(reader.Request());
+        const std::string id(http::FindHeader(reader.Request().headers, "x-id").value_or(""));
+        tcp->Write("HTTP/1.1 200 x\r\nx-signature: s\r\nx-id: " + id + "\r\n\r\n" +
+                   std::string(20'000, 'x'));
+        // The kernel resets the connection, because the rest of the body is unread.
+        tcp.reset();
+        return;
+      }
       if (reader.IsComplete()) {
         const http::HttpRequest request = reader.Request();
         reader.Restart();
@@ -190,6 +205,7 @@
         }
         break;
       case Behaviour::kShed:
+      case Behaviour::kResetDuringUpload:
       case Behaviour::kNeverRespond:
         break;
     }
@@ -230,6 +246,8 @@
   TestWorker first{loop, "w-1"};
   TestWorker second{loop, "w-2"};
   std::unique_ptr<http::ClientConnection> caller;
+  /** Body of the requests. */
+  std::string body = "body";
 
   Fixture() {
     REQUIRE(IsOk(server.Listen({"127.0.0.1", 0})));
@@ -275,7 +293,7 @@
   http::ClientRequest Request(const std::string& path = "/a/b?c=d") const {
     http::ClientRequest request;
     request.request = {
-        "POST", path, {{"x-id", "id-1"}, {"x-left", "15000"}, {"x-other", "y"}}, "body"};
+        "POST", path, {{"x-id", "id-1"}, {"x-left", "15000"}, {"x-other", "y"}}, body};
     request.host = "shop.example";
     request.timeout = 25s;
     return request;
--- a/libs/gateway/test/test_calls.cc
+++ b/libs/gateway/test/test_calls.cc
@@ -124,6 +124,17 @@
       CHECK(fixture.ExecutedCount() == 1);
     }
   }
+  // Guards against a caller that gets a part of a body as the whole one.
+  WHEN("a worker resets the connection within a response without a length") {
+    fixture.SetBehaviour(Behaviour::kResetDuringUpload);
+    fixture.body.assign(200'000, 'u');
+    const http::HttpResponse response = fixture.Call();
+    THEN("the attempt has failed, and the request may have run") {
+      CHECK(response.status == 502);
+      CHECK(response.body.empty());
+      CHECK(fixture.ExecutedCount() == 1);
+    }
+  }
   // Guards against a VM that buffers bytes without end until the deadline or the end of its memory.
   WHEN("a worker sends a body without end") {
     fixture.SetBehaviour(Behaviour::kEndlessBody);
--- a/libs/net/include/quetzalhinge/net/tcp_connection.h
+++ b/libs/net/include/quetzalhinge/net/tcp_connection.h
@@ -18,7 +18,7 @@
 enum class TcpEnd {
   /** It could not be established. */
   kNotConnected,
-  /** The peer closed its sending side. */
+  /** The peer closed its sending side. All bytes that it had sent were received. */
   kClosedByPeer,
   /** It was reset by the peer, or closed because the peer stopped responding. */
   kBroken,
--- a/libs/net/src/tcp_connection.cc
+++ b/libs/net/src/tcp_connection.cc
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "stream_end.h"
+
 namespace qh::net {
 namespace {
 
@@ -65,7 +67,7 @@
   std::vector<std::unique_ptr<WriteRequest>> queued_before_connect;
   bool connected = false;
   bool open = true;
-  bool finish_writing = false;
+  SendingSide sending;
   bool reading = true;
 
   std::size_t QueuedBytes() { return uv_stream_get_write_queue_size(Stream()); }
@@ -99,11 +101,24 @@
     }
   }
 
+  /** Ends the connection after a read that has failed with `status`, which may be UV_EOF. */
+  void EndReading(int status) {
+    uv_os_fd_t descriptor = -1;
+    if (status == UV_EOF && uv_fileno(reinterpret_cast<uv_handle_t*>(&handle), &descriptor) == 0) {
+      const int error = ErrorAtEndOfStream(descriptor, sending);
+      status = error == 0 ? UV_EOF : error;
+    }
+    End(status == UV_EOF ? TcpEnd::kClosedByPeer : TcpEnd::kBroken, "read", status);
+  }
+
   void SendNow(std::unique_ptr<WriteRequest> write) {
     const std::size_t size = write->Size();
     std::array<uv_buf_t, 2> buffers = write->Buffers(0);
     const unsigned count = write->more.bytes.empty() ? 1 : 2;
     const int tried = QueuedBytes() == 0 ? uv_try_write(Stream(), buffers.data(), count) : 0;
+    if (tried < 0 && tried != UV_EAGAIN) {
+      RecordWriteError(tried);
+    }
     const auto written = static_cast<std::size_t>(std::max(0, tried));
     if (written == size) {
       return;
@@ -117,6 +132,12 @@
     }
   }
 
+  void RecordWriteError(int status) {
+    if (sending.write_error == 0) {
+      sending.write_error = status;
+    }
+  }
+
   void FinishNow() {
     uv_shutdown(&shutdown, Stream(), [](uv_shutdown_t*, int) {});
   }
@@ -135,7 +156,7 @@
     for (auto& write : std::exchange(impl->queued_before_connect, {})) {
       impl->SendNow(std::move(write));
     }
-    if (impl->finish_writing) {
+    if (impl->sending.finished) {
       impl->FinishNow();
     }
     if (impl->reading) {
@@ -153,8 +174,7 @@
     if (size > 0 && impl->observer != nullptr) {
       impl->observer->OnBytes(std::string_view(buffer->base, static_cast<std::size_t>(size)));
     } else if (size < 0) {
-      impl->End(size == UV_EOF ? TcpEnd::kClosedByPeer : TcpEnd::kBroken, "read",
-                static_cast<int>(size));
+      impl->EndReading(static_cast<int>(size));
     }
   }
 
@@ -165,7 +185,8 @@
       return;
     }
     if (status != 0) {
-      impl->End(TcpEnd::kBroken, "write", status);
+      impl->RecordWriteError(status);
+      impl->End(TcpEnd::kBroken, "write", impl->sending.write_error);
     } else if (impl->QueuedBytes() == 0) {
       impl->observer->OnAllWritten();
     }
@@ -226,10 +247,10 @@
 }
 
 void TcpConnection::FinishWriting() {
-  if (m_impl->finish_writing) {
+  if (m_impl->sending.finished) {
     return;
   }
-  m_impl->finish_writing = true;
+  m_impl->sending.finished = true;
   if (m_impl->connected) {
     m_impl->FinishNow();
   }
