Reject heads with malformed lines

What callers saw: a worker sent a response whose head had a field with a blank in its name.

Cause: http_parser, as Debian builds it, accepts blanks in names and, at the end of a line, any byte after CR. The check of framing compares names as they are, so "content-length " was framing to the parser and an unknown field to the check; a line that starts with CR ended the head. The reader of requests is the same: such a line of a caller went on to the worker.

Change: HeadSyntaxCheck reads the head beside http_parser and rejects names that are no tokens (RFC 9112 section 5.1; blanks, control bytes, empty names), folded lines (section 5.2, which lets a gateway reject them) and CR without LF (section 2.2). It is part of MessageReader, so it holds for responses of workers, probes, the store and peers; requests with such lines get 400, as section 5.1 asks. Such a response ends the attempt as "may have run", like one with an invalid status code.

--- a/libs/gateway/test/call_fixture.h
+++ b/libs/gateway/test/call_fixture.h
@@ -60,6 +60,8 @@
   kEndlessBody,
   /** Sends a response with status 000, then one with status 200 on the same connection. */
   kStatusZero,
+  /** Sends a response with a blank after the name of the field that gives the length. */
+  kBlankInName,
   /**
    * Sends a part of a response without a length and resets the connection, both before it has read
    * the body of the request.
@@ -188,6 +190,10 @@
                               "\r\ncontent-length: 2\r\n\r\nok");
         connection.Send(200, id, "x-signature: s\r\n", "late");
         break;
+      case Behaviour::kBlankInName:
+        connection.tcp->Write("HTTP/1.1 200 x\r\nx-signature: s\r\nx-id: " + id +
+                              "\r\ncontent-length : 2\r\n\r\nwhole");
+        break;
       case Behaviour::kRepeatOldRefusal:
         connection.tcp->Write("HTTP/1.1 503 x\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n");
         connection.Send(200, id, "x-signature: s\r\n", "from " + m_id);
--- a/libs/gateway/test/test_calls.cc
+++ b/libs/gateway/test/test_calls.cc
@@ -124,6 +124,16 @@
       CHECK(fixture.ExecutedCount() == 1);
     }
   }
+  // Guards against a caller that gets a body that the worker did not send.
+  WHEN("a worker sends a response with a blank in the name of a field") {
+    fixture.SetBehaviour(Behaviour::kBlankInName);
+    const http::HttpResponse response = fixture.Call();
+    THEN("the attempt has failed, and the request may have run") {
+      CHECK(response.status == 502);
+      CHECK(response.body.empty());
+      CHECK(fixture.ExecutedCount() == 1);
+    }
+  }
   // Guards against a caller that gets a part of a body as the whole one.
   WHEN("a worker resets the connection within a response without a length") {
     fixture.SetBehaviour(Behaviour::kResetDuringUpload);
@@ -166,8 +176,8 @@
       }
     }
   }
-  WHEN("one worker sends responses with status 000") {
-    fixture.first.behaviour = Behaviour::kStatusZero;
+  WHEN("one worker sends broken responses") {
+    fixture.first.behaviour = GENERATE(Behaviour::kStatusZero, Behaviour::kBlankInName);
     THEN("the other worker serves the request") {
       for (int i = 0; i < 6; ++i) {
         CHECK(fixture.Call().body == "from w-2");
--- a/libs/http/src/message_reader.cc
+++ b/libs/http/src/message_reader.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "framing_check.h"
+#include "head_syntax_check.h"
 #include "quetzalhinge/base/enum_table.h"
 #include "status_code_check.h"
 
@@ -60,6 +61,7 @@
   MessageKind kind;
   ReaderLimits limits;
   http_parser parser{};
+  HeadSyntaxCheck head_syntax;
   StatusCodeCheck status_code;
   HttpRequest request;
   HttpResponse response;
@@ -139,6 +141,7 @@
   void Restart() {
     http_parser_init(&parser, kind == MessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
     parser.data = this;
+    head_syntax.Restart();
     status_code.Restart();
     FreeMessage();
     head_bytes = 0;
@@ -252,6 +255,7 @@
     Impl& impl = From(parser);
     http_parser_pause(parser, 1);
     if (impl.kind == MessageKind::kResponse && impl.response.status < kFirstFinalStatus) {
+      impl.head_syntax.Restart();
       impl.status_code.Restart();
       impl.FreeMessage();
       impl.head_complete = false;
@@ -282,8 +286,13 @@
    * number of consumed bytes.
    */
   std::size_t Parse(std::string_view bytes) {
-    status_code.Read(bytes);
-    const std::size_t used = http_parser_execute(&parser, &Settings(), bytes.data(), bytes.size());
+    // The parser reads up to the malformed byte, so that the fault does not depend on how the
+    // message is split into packets.
+    const std::string_view parsed = bytes.substr(0, head_syntax.Read(bytes));
+    status_code.Read(parsed);
+    const std::size_t used =
+        parsed.empty() ? 0
+                       : http_parser_execute(&parser, &Settings(), parsed.data(), parsed.size());
     const http_errno error = HTTP_PARSER_ERRNO(&parser);
     if (error == HPE_PAUSED) {
       http_parser_pause(&parser, 0);
@@ -298,6 +307,9 @@
     if (error != HPE_OK && error != HPE_PAUSED && !fault.has_value()) {
       fault = FaultOf(error);
     }
+    if (!head_syntax.IsValid() && !fault.has_value()) {
+      Reject(ReadFault::kMalformed);
+    }
     if (fault.has_value()) {
       complete = false;
     }
--- a/libs/http/test/test_message_reader.cc
+++ b/libs/http/test/test_message_reader.cc
@@ -154,6 +154,101 @@
   }
 }
 
+// Guards against a caller that gets a response with a malformed line, or with a body that the
+// worker did not send, because http_parser accepts blanks in the names of fields and any byte after
+// CR.
+SCENARIO("A reader rejects a head with a malformed line") {
+  using namespace std::string_literals;
+  const auto kind = GENERATE(MessageKind::kResponse, MessageKind::kRequest);
+  const std::string first_line =
+      kind == MessageKind::kResponse ? "HTTP/1.1 200 OK\r\n" : "POST / HTTP/1.1\r\n";
+  const auto check_rejected = [&](const std::string& message) {
+    CAPTURE(message);
+    MessageReader at_once(kind, {});
+    at_once.Read(message);
+    CHECK(at_once.Fault() == ReadFault::kMalformed);
+    MessageReader byte_by_byte(kind, {});
+    ReadByteByByte(byte_by_byte, message);
+    CHECK(byte_by_byte.Fault() == ReadFault::kMalformed);
+  };
+
+  GIVEN("a name that is not a token") {
+    for (const std::string& name : {"x bad"s,
+                                    "x-bad "s,
+                                    " x-bad"s,
+                                    "x\tbad"s,
+                                    "x-bad\t"s,
+                                    "\tx-bad"s,
+                                    "x\rbad"s,
+                                    "x-bad\r"s,
+                                    "\rx-bad"s,
+                                    "x\nbad"s,
+                                    "x\0bad"s,
+                                    "\0"s,
+                                    "x\001bad"s,
+                                    "x\177bad"s,
+                                    "x(bad"s,
+                                    "x/bad"s,
+                                    "x\200bad"s,
+                                    ""s,
+                                    "content-length "s,
+                                    " content-length"s,
+                                    "\rcontent-length"s,
+                                    "content-length\t"s,
+                                    "transfer-encoding "s,
+                                    "content length"s}) {
+      const std::string line = name + ": 1\r\n";
+      const std::string length = "content-length: 2\r\n";
+      check_rejected(first_line + line + length + "\r\nok");
+      check_rejected(first_line + length + line + "\r\nok");
+      check_rejected(first_line + "x-other: y\r\n" + line + "\r\nok");
+    }
+  }
+  GIVEN("a line without a colon") {
+    check_rejected(first_line + "x-bad\r\ncontent-length: 2\r\n\r\nok");
+  }
+  GIVEN("a CR that does not end a line") {
+    for (const std::string line : {"x:\rycontent-length: 1\r\n", "x: y\rcontent-length: 1\r\n",
+                                   "x: y\r\r\n", "\rx", "\r\r\n"}) {
+      check_rejected(first_line + line + "content-length: 2\r\n\r\nok");
+    }
+    check_rejected(first_line.substr(0, first_line.size() - 2) +
+                   "\rxcontent-length: 1\r\ncontent-length: 2\r\n\r\nok");
+  }
+  GIVEN("sound lines") {
+    const std::string line =
+        GENERATE("!#$%&'*+-.^_`|~0189azAZ: y\r\n", "x:\r\n", "x: \r\n", "x:y\r\n",
+                 "x: a\tb \200\377 \t\r\n", "x: a: b\r\n", "x: y\n");
+    const std::string message = first_line + line + "content-length: 2\r\n\r\nok";
+    CAPTURE(message);
+    MessageReader at_once(kind, {});
+    CHECK(at_once.Read(message) == message.size());
+    CHECK(at_once.IsComplete());
+    MessageReader byte_by_byte(kind, {});
+    CHECK(ReadByteByByte(byte_by_byte, message) == message.size());
+    CHECK(byte_by_byte.IsComplete());
+  }
+}
+
+SCENARIO("A reader accepts sound responses in all their forms") {
+  const std::string response = GENERATE("HTTP/1.1 200\r\ncontent-length: 2\r\n\r\nok",
+                                        "HTTP/1.1 200 \r\ncontent-length: 2\r\n\r\nok",
+                                        "\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+                                        "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\nHTTP/1.1 "
+                                        "200 OK\r\ncontent-length: 2\r\n\r\nok",
+                                        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+                                        "2;name=\"a b\"\r\nok\r\n0\r\nx-trailer: y\r\n\r\n");
+  CAPTURE(response);
+  MessageReader at_once(MessageKind::kResponse, {});
+  CHECK(at_once.Read(response) == response.size());
+  REQUIRE(at_once.IsComplete());
+  CHECK(at_once.Response().body == "ok");
+  MessageReader byte_by_byte(MessageKind::kResponse, {});
+  CHECK(ReadByteByByte(byte_by_byte, response) == response.size());
+  REQUIRE(byte_by_byte.IsComplete());
+  CHECK(byte_by_byte.Response().body == "ok");
+}
+
 // Guards against a process that runs out of memory because several peers send bodies without end.
 SCENARIO("Several readers share a limit on the memory for bodies") {
   ReaderLimits limits;
