Reject folded lines in responses to qh-entry

Cause: h2o's client reports a folded line as a field without a name, and HttpClient passed it on.

Change: a field without a name ends the call as a protocol error, "folded header line".

--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -228,6 +228,12 @@
     }
     call.m_response.status = status;
     for (std::size_t i = 0; i < header_count; ++i) {
+      if (headers[i].name->len == 0) {
+        // h2o turns a folded line, which starts with a blank, into a field without a name.
+        call.m_h2o_client = nullptr;
+        call.Fail(ErrorCode::kProtocol, "read response head", "folded header line", false);
+        return nullptr;
+      }
       call.m_response.headers.push_back(
           {Lower(*headers[i].name), std::string(headers[i].value.base, headers[i].value.len)});
     }
--- a/libs/http/test/test_client_faults.cc
+++ b/libs/http/test/test_client_faults.cc
@@ -97,4 +97,31 @@
   }
 }
 
+// Guards against a caller that gets a response with a malformed line, or with a body that the
+// worker did not send.
+SCENARIO("A client rejects a response with a malformed line in its head") {
+  using namespace std::string_literals;
+  net::EventLoop loop;
+  const std::string head = "HTTP/1.1 200 OK\r\nx-other: y\r\n";
+  const std::string length = "content-length: 2\r\n\r\nok";
+  for (const std::string& line :
+       {"x bad: 1\r\n"s, "x-bad : 1\r\n"s, " x-bad: 1\r\n"s, "\tx-bad: 1\r\n"s, "x\tbad: 1\r\n"s,
+        "x\rbad: 1\r\n"s, "\rx-bad: 1\r\n"s, "x\0bad: 1\r\n"s, "x\001bad: 1\r\n"s,
+        "x\177bad: 1\r\n"s, "x(bad: 1\r\n"s, "x/bad: 1\r\n"s, "x\200bad: 1\r\n"s, ": 1\r\n"s,
+        "content-length : 1\r\n"s, " content-length: 1\r\n"s, "transfer-encoding : chunked\r\n"s,
+        "x-bad\r\n"s, "x: y\rcontent-length: 1\r\n"s}) {
+    CAPTURE(line);
+    const ScriptedPeer worker(loop, head + line + length, true);
+    CHECK(std::holds_alternative<HttpCallFailure>(Call(loop, worker)));
+  }
+  for (const std::string& line :
+       {"!#$%&'*+-.^_`|~0189azAZ: y\r\n"s, "x:\r\n"s, "x: a\tb \200\377\r\n"s}) {
+    CAPTURE(line);
+    const ScriptedPeer worker(loop, head + line + length, true);
+    const auto result = Call(loop, worker);
+    REQUIRE(std::holds_alternative<HttpResponse>(result));
+    CHECK(std::get<HttpResponse>(result).body == "ok");
+  }
+}
+
 }  // namespace qh::http
--- a/test/system/test_whole_answers.cc
+++ b/test/system/test_whole_answers.cc
@@ -89,6 +89,14 @@
     std::string response = MakeResponse(request, text, text.size());
     return write(response.replace(response.find(" 200"), 4, " 000"));
   }
+  if (path_contains("/folded-line")) {
+    return write(MakeResponseHead(request, "x-other: y\r\n x-folded: 1\r\ncontent-length: " +
+                                               std::to_string(text.size())) +
+                 text);
+  }
+  if (path_contains("/blank-in-name")) {
+    return write(MakeResponseHead(request, "content-length : 5") + text);
+  }
   if (path_contains("/other-request")) {
     ScriptedRequest other = request;
     other.request_id = "0123456789abcdef";
@@ -157,8 +165,8 @@
   int m_number = 0;
 };
 
-// Guards against a truncated, foreign or late response of a worker, or one with status 000, that
-// the caller receives as an answer.
+// Guards against a truncated, foreign or late response of a worker, or one with status 000 or a
+// malformed line, that the caller receives as an answer.
 TEST_CASE("A worker's response is delivered complete or as an error") {
   ScriptedDeployment scripted(62);
 
@@ -176,6 +184,8 @@
                               {"/cut-in-chunk", "answer_cut"},
                               {"/no-length", "answer_cut"},
                               {"/status-000", "answer_cut"},
+                              {"/folded-line", "answer_cut"},
+                              {"/blank-in-name", "worker_failed"},
                               {"/other-request", "answer_cut"}};
   for (const Row& row : rows) {
     CAPTURE(row.path);
