Reject chunked bodies with malformed line ends

A response whose chunk is longer than its stated size ("2\r\nokXX0\r\n\r\n") reached the caller as complete, with a body that was not the worker's.

Cause: http_parser, as Debian builds it, accepts any two bytes after the data of a chunk and any byte after CR.

Change: LineEndCheck reads the bytes of a message that are neither head nor body: CR is followed by LF, and the data of a chunk by CR LF (RFC 9112 section 7.1). Part of MessageReader, so it holds for all responses that qh-gateway reads, and for requests (400). Chunk extensions, blanks after the size and trailers pass as before.

--- a/libs/http/src/message_reader.cc
+++ b/libs/http/src/message_reader.cc
@@ -8,6 +8,7 @@
 
 #include "framing_check.h"
 #include "head_syntax_check.h"
+#include "line_end_check.h"
 #include "quetzalhinge/base/enum_table.h"
 #include "status_code_check.h"
 
@@ -62,7 +63,10 @@
   ReaderLimits limits;
   http_parser parser{};
   HeadSyntaxCheck head_syntax;
+  LineEndCheck line_ends;
   StatusCodeCheck status_code;
+  /** Start of the bytes that `line_ends` has not read. Valid within Parse(). */
+  const char* unchecked = nullptr;
   HttpRequest request;
   HttpResponse response;
   /** The memory of the message that is being read, if any of it is reserved. */
@@ -141,8 +145,7 @@
   void Restart() {
     http_parser_init(&parser, kind == MessageKind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
     parser.data = this;
-    head_syntax.Restart();
-    status_code.Restart();
+    RestartChecks();
     FreeMessage();
     head_bytes = 0;
     field_bytes = 0;
@@ -154,6 +157,18 @@
     fault.reset();
   }
 
+  void RestartChecks() {
+    head_syntax.Restart();
+    line_ends.Restart();
+    status_code.Restart();
+  }
+
+  /** Checks the bytes before `end` that follow the last part of the body. */
+  void CheckLineEndsUpTo(const char* end) {
+    line_ends.Read({unchecked, static_cast<std::size_t>(end - unchecked)});
+    unchecked = end;
+  }
+
   HttpHeaders& Headers() {
     return kind == MessageKind::kRequest ? request.headers : response.headers;
   }
@@ -235,6 +250,9 @@
 
   static int OnBody(http_parser* parser, const char* bytes, std::size_t size) {
     Impl& impl = From(parser);
+    impl.CheckLineEndsUpTo(bytes);
+    impl.line_ends.OnBodyData();
+    impl.unchecked = bytes + size;
     Body& body = impl.MessageBody();
     const std::size_t body_bytes = body.size() + size;
     if (body_bytes > impl.limits.max_body_bytes) {
@@ -255,8 +273,7 @@
     Impl& impl = From(parser);
     http_parser_pause(parser, 1);
     if (impl.kind == MessageKind::kResponse && impl.response.status < kFirstFinalStatus) {
-      impl.head_syntax.Restart();
-      impl.status_code.Restart();
+      impl.RestartChecks();
       impl.FreeMessage();
       impl.head_complete = false;
       impl.reading_value = false;
@@ -290,6 +307,7 @@
     // message is split into packets.
     const std::string_view parsed = bytes.substr(0, head_syntax.Read(bytes));
     status_code.Read(parsed);
+    unchecked = parsed.data();
     const std::size_t used =
         parsed.empty() ? 0
                        : http_parser_execute(&parser, &Settings(), parsed.data(), parsed.size());
@@ -307,7 +325,11 @@
     if (error != HPE_OK && error != HPE_PAUSED && !fault.has_value()) {
       fault = FaultOf(error);
     }
-    if (!head_syntax.IsValid() && !fault.has_value()) {
+    if (head_complete) {
+      CheckLineEndsUpTo(parsed.data() + used);
+    }
+    // The parser may have read on after a malformed line end and found another fault.
+    if (!line_ends.IsValid() || (!head_syntax.IsValid() && !fault.has_value())) {
       Reject(ReadFault::kMalformed);
     }
     if (fault.has_value()) {
--- a/libs/http/test/test_message_reader.cc
+++ b/libs/http/test/test_message_reader.cc
@@ -230,6 +230,47 @@
   }
 }
 
+// Guards against a caller that gets a body that the worker did not send, because http_parser
+// accepts any two bytes after a chunk and any byte after CR.
+SCENARIO("A reader rejects a chunked body with a malformed line end") {
+  const auto kind = GENERATE(MessageKind::kResponse, MessageKind::kRequest);
+  const std::string head =
+      (kind == MessageKind::kResponse ? "HTTP/1.1 200 OK\r\n" : "POST / HTTP/1.1\r\n") +
+      std::string("transfer-encoding: chunked\r\n\r\n");
+  for (const std::string body :
+       {"2\r\nokXX0\r\n\r\n", "2\r\nok\n\n0\r\n\r\n", "2\r\nok\rX0\r\n\r\n", "2\rXok\r\n0\r\n\r\n",
+        "2;a\rXok\r\n0\r\n\r\n", "2\r\nok\r\n0\rX\r\n", "2\r\nok\r\n0\r\n\rX",
+        "2\r\nok\r\n0\r\nx: y\rX\r\n\r\n", "1\r\noXX1\r\nk\r\n0\r\n\r\n"}) {
+    CAPTURE(body);
+    MessageReader at_once(kind, {});
+    at_once.Read(head + body);
+    CHECK(at_once.Fault() == ReadFault::kMalformed);
+    CHECK_FALSE(at_once.IsComplete());
+    MessageReader byte_by_byte(kind, {});
+    ReadByteByByte(byte_by_byte, head + body);
+    CHECK(byte_by_byte.Fault() == ReadFault::kMalformed);
+  }
+  for (const std::string body :
+       {"2\r\nok\r\n0\r\n\r\n", "1\r\no\r\n1\r\nk\r\n00\r\n\r\n",
+        "02 ;a=\"b c\"\r\nok\r\n0;a\r\n\r\n", "2\r\nok\r\n0\r\nx: y\r\nz:\r\n\r\n"}) {
+    CAPTURE(body);
+    MessageReader at_once(kind, {});
+    CHECK(at_once.Read(head + body + "next") == head.size() + body.size());
+    CHECK(at_once.IsComplete());
+    MessageReader byte_by_byte(kind, {});
+    CHECK(ReadByteByByte(byte_by_byte, head + body) == head.size() + body.size());
+    CHECK(byte_by_byte.IsComplete());
+  }
+  THEN("a body may have any bytes") {
+    const std::string bytes = "\r\r\n\nx\r";
+    MessageReader reader(kind, {});
+    reader.Read(head + "6\r\n" + bytes + "\r\n0\r\n\r\n");
+    REQUIRE(reader.IsComplete());
+    CHECK((kind == MessageKind::kResponse ? reader.Response().body : reader.Request().body) ==
+          bytes);
+  }
+}
+
 SCENARIO("A reader accepts sound responses in all their forms") {
   const std::string response = GENERATE("HTTP/1.1 200\r\ncontent-length: 2\r\n\r\nok",
                                         "HTTP/1.1 200 \r\ncontent-length: 2\r\n\r\nok",
--- a/test/fuzz/test_fuzz.cc
+++ b/test/fuzz/test_fuzz.cc
@@ -37,6 +37,7 @@
   std::size_t bytes = 0;
   std::string method;
   std::string path;
+  int status = 0;
   std::string body;
   std::string headers;
 
@@ -45,8 +46,9 @@
 
 /** Passes `input` to a reader in parts; `next_part_length` returns the length of each. */
 template <typename NextPartLength>
-ReadOutcome ReadInParts(const std::string& input, const NextPartLength& next_part_length) {
-  http::MessageReader reader(http::MessageKind::kRequest, {});
+ReadOutcome ReadInParts(http::MessageKind kind, const std::string& input,
+                        const NextPartLength& next_part_length) {
+  http::MessageReader reader(kind, {});
   ReadOutcome outcome;
   while (outcome.bytes < input.size() && !reader.IsComplete() && !reader.Fault().has_value()) {
     outcome.bytes += reader.Read(input.substr(outcome.bytes, next_part_length()));
@@ -58,30 +60,30 @@
     outcome.bytes = 0;
   }
   if (outcome.is_complete) {
+    const bool is_request = kind == http::MessageKind::kRequest;
     const http::HttpRequest& request = reader.Request();
     outcome.method = request.method;
     outcome.path = request.path;
-    outcome.body = request.body;
-    for (const http::HttpHeader& header : request.headers) {
+    outcome.status = reader.Response().status;
+    outcome.body = is_request ? request.body : reader.Response().body;
+    for (const http::HttpHeader& header :
+         is_request ? request.headers : reader.Response().headers) {
       outcome.headers += header.name + ": " + header.value + "\n";
     }
   }
   return outcome;
 }
 
-// Guards against a request that is parsed differently depending on how it is split into packets,
-// and against accepted requests with line breaks in the path or the headers.
-TEST_CASE("A request is parsed identically in one part and in many") {
-  InputMutator mutator(
-      {"POST /a/b?c=d HTTP/1.1\r\nhost: shop.example\r\nx-id: 1\r\ncontent-length: 4\r\n\r\nbody",
-       "POST /a/ HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-       "GET / HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, x-a\r\nx-a: 1\r\n\r\nGET /b HTTP/1.1"},
-      Seed());
+/**
+ * Checks that the inputs of `mutator` are read in the same way in one part and in many, and that no
+ * accepted message has line breaks in its path or its headers.
+ */
+void CheckMessages(http::MessageKind kind, InputMutator& mutator) {
   int complete = 0;
   for (int i = 0; i < kInputs; ++i) {
     const std::string input = mutator.Next();
-    const ReadOutcome in_one_part = ReadInParts(input, [&] { return input.size(); });
-    const ReadOutcome in_parts = ReadInParts(input, [&] { return 1 + mutator.Draw(7); });
+    const ReadOutcome in_one_part = ReadInParts(kind, input, [&] { return input.size(); });
+    const ReadOutcome in_parts = ReadInParts(kind, input, [&] { return 1 + mutator.Draw(7); });
     CAPTURE(i, input);
     REQUIRE(in_one_part == in_parts);
     if (in_one_part.is_complete) {
@@ -94,6 +96,28 @@
   CHECK(complete > kInputs / 20);
 }
 
+// Guards against a request that is parsed differently depending on how it is split into packets,
+// and against accepted requests with line breaks in the path or the headers.
+TEST_CASE("A request is parsed identically in one part and in many") {
+  InputMutator mutator(
+      {"POST /a/b?c=d HTTP/1.1\r\nhost: shop.example\r\nx-id: 1\r\ncontent-length: 4\r\n\r\nbody",
+       "POST /a/ HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+       "GET / HTTP/1.1\r\nHost: h\r\nConnection: keep-alive, x-a\r\nx-a: 1\r\n\r\nGET /b HTTP/1.1"},
+      Seed());
+  CheckMessages(http::MessageKind::kRequest, mutator);
+}
+
+// Guards against a response that a caller gets in another form than the worker has sent it.
+TEST_CASE("A response is parsed identically in one part and in many") {
+  InputMutator mutator(
+      {"HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 4\r\n\r\nbody",
+       "HTTP/1.1 200 OK\r\nx-id: 1\r\ntransfer-encoding: chunked\r\n\r\n"
+       "2;a=b\r\nbo\r\n2\r\ndy\r\n0\r\nx-trailer: 1\r\n\r\n",
+       "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\nHTTP/1.1 204 No Content\r\nx-id: 1\r\n\r\n"},
+      Seed());
+  CheckMessages(http::MessageKind::kResponse, mutator);
+}
+
 // Guards against configurations that are accepted with values outside their ranges.
 TEST_CASE("An accepted configuration has values within their ranges") {
   InputMutator mutator(
