Name malformed heads and chunks in logs

An on-call engineer saw "read response: malformed" for an invalid status, a malformed line of the head and a wrong chunk alike. The faults are now malformed_head and malformed_chunk; malformed stays for the rest. Requests with them are refused as before (400).

--- a/libs/http/include/quetzalhinge/http/message_reader.h
+++ b/libs/http/include/quetzalhinge/http/message_reader.h
@@ -14,6 +14,10 @@
 /** Why a message is rejected. */
 enum class ReadFault {
   kMalformed,
+  /** A line of the head is malformed: a name that is no token, a folded line, CR without LF. */
+  kMalformedHead,
+  /** A line or the data of a chunk has a malformed end. */
+  kMalformedChunk,
   /** The head gives the length of the body in two ways, or in an unsupported one. */
   kAmbiguousFraming,
   /** The head has too many bytes or too many fields. */
--- a/libs/http/src/message_reader.cc
+++ b/libs/http/src/message_reader.cc
@@ -15,8 +15,10 @@
 namespace qh::http {
 namespace {
 
-constexpr EnumTable<ReadFault, 6> kFaultNames{{{
+constexpr EnumTable<ReadFault, 8> kFaultNames{{{
     {ReadFault::kMalformed, "malformed"},
+    {ReadFault::kMalformedHead, "malformed_head"},
+    {ReadFault::kMalformedChunk, "malformed_chunk"},
     {ReadFault::kAmbiguousFraming, "ambiguous_framing"},
     {ReadFault::kHeadTooLarge, "head_too_large"},
     {ReadFault::kBodyTooLarge, "body_too_large"},
@@ -328,9 +330,11 @@
     if (head_complete) {
       CheckLineEndsUpTo(parsed.data() + used);
     }
-    // The parser may have read on after a malformed line end and found another fault.
-    if (!line_ends.IsValid() || (!head_syntax.IsValid() && !fault.has_value())) {
-      Reject(ReadFault::kMalformed);
+    if (!line_ends.IsValid()) {
+      // Replaces a fault that the parser has found after the malformed end.
+      Reject(ReadFault::kMalformedChunk);
+    } else if (!head_syntax.IsValid() && !fault.has_value()) {
+      Reject(ReadFault::kMalformedHead);
     }
     if (fault.has_value()) {
       complete = false;
--- a/libs/http/src/refusals.cc
+++ b/libs/http/src/refusals.cc
@@ -13,6 +13,8 @@
     case ReadFault::kNoMemory:
       return Refusal::kNoMemory;
     case ReadFault::kMalformed:
+    case ReadFault::kMalformedHead:
+    case ReadFault::kMalformedChunk:
     case ReadFault::kCutShort:
       break;
   }
