--- a/libs/http/include/quetzalhinge/http/http_message.h
+++ b/libs/http/include/quetzalhinge/http/http_message.h
@@ -38,8 +38,9 @@
   /** Whether the server closes the connection after this response. */
   bool close_connection = false;
   /**
-   * Whether the end of the body is marked only by the end of the connection. Truncation of such a
-   * body cannot be detected. ConnectionServer sends the response without Content-Length.
+   * Whether the end of the body is marked only by the end of the connection. If the sender closes
+   * the connection too early, the truncation cannot be detected; if it is reset, the response is
+   * not complete. ConnectionServer sends the response without Content-Length.
    */
   bool ends_with_connection = false;
 };
