--- a/libs/http/include/quetzalhinge/http/http_client.h
+++ b/libs/http/include/quetzalhinge/http/http_client.h
@@ -72,7 +72,7 @@
  * HTTP/1.1 client for one peer with a pool of idle connections. A connection carries one call at a
  * time and returns to the pool only after a complete, correctly framed response. A response that
  * has neither Content-Length nor chunked coding fails the call, because truncation could not be
- * detected.
+ * detected. So does a malformed head; a folded line (RFC 9112, section 5.2) counts as one.
  */
 class HttpClient {
  public:
--- a/libs/http/src/message_reader.cc
+++ b/libs/http/src/message_reader.cc
@@ -165,7 +165,7 @@
     status_code.Restart();
   }
 
-  /** Checks the bytes before `end` that follow the last part of the body. */
+  /** Checks the bytes up to `end` that no check of line ends has read; they are not body data. */
   void CheckLineEndsUpTo(const char* end) {
     line_ends.Read({unchecked, static_cast<std::size_t>(end - unchecked)});
     unchecked = end;
--- a/libs/net/src/stream_end.cc
+++ b/libs/net/src/stream_end.cc
@@ -20,7 +20,7 @@
 bool IsClosed(int descriptor) {
   tcp_info info{};
   socklen_t size = sizeof(info);
-  // Where the kernel does not tell, a read that reports the end is believed.
+  // Where the kernel does not tell, the end that the last read has reported counts.
   return getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
          info.tcpi_state == TCP_CLOSE;
 }
@@ -41,10 +41,11 @@
   if (sending.write_error != 0 && sending.write_error != UV_EPIPE) {
     return sending.write_error;
   }
+  // After a FIN the socket stays open for writing, unless this side has sent its own FIN.
   if (!IsClosed(descriptor) || sending.finished) {
     return 0;
   }
-  // A reset that follows the peer's FIN causes EPIPE instead of ECONNRESET.
+  // Only a reset closes it then. One that follows the peer's FIN causes EPIPE, not ECONNRESET.
   const bool reset_after_end = sending.write_error == UV_EPIPE || SocketError(descriptor) == EPIPE;
   return reset_after_end ? 0 : UV_ECONNRESET;
 }
