Log how a check ended and where a configuration came from

Failed checks are now logged with peer="store check", successful ones as "check ended", and "configuration applied" names its source. No change of behaviour. test_relay, test_table_follower and test_store_copy pass.

--- a/libs/gateway/include/quetzalhinge/gateway/confirmed_table_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/confirmed_table_store.h
@@ -21,6 +21,12 @@
    */
   virtual std::optional<TimePoint> ConfirmedAt(const std::string& table) const = 0;
 
+  /**
+   * Returns where the rows of `table` were last read, for logs: "store", "store check" or the name
+   * of a VM; empty before the first read.
+   */
+  virtual std::string SourceOf(const std::string& table) const = 0;
+
   /**
    * Reads directly from the store, without waiting for changes and beside any other read: the whole
    * table, or the rows changed after store version `after` if it is set. Errors as for
--- a/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
@@ -82,6 +82,7 @@
   std::uint64_t NewestChange(const std::string& table) const;
 
   std::optional<TimePoint> ConfirmedAt(const std::string& table) const override;
+  std::string SourceOf(const std::string& table) const override;
   void CheckStore(const std::string& table, std::optional<std::uint64_t> after,
                   Callback<store::TableRows> callback) override;
   void ReadTable(const std::string& table, Callback<store::TableRows> callback) override;
--- a/libs/gateway/src/relay_state.h
+++ b/libs/gateway/src/relay_state.h
@@ -36,6 +36,8 @@
   std::optional<TimePoint> confirmed_at;
   /** Whether the rows were last read directly from the store. */
   bool from_store = false;
+  /** Where the rows were last read: the store, a check of the store, or the name of a VM. */
+  std::string source;
   /** The VM from which the rows were last read; empty if that was the store. */
   RelayPeer reader;
 };
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -26,6 +26,10 @@
  */
 constexpr int kMaxPeersTried = 10;
 
+/** Sources of rows in logs, beside the names of VMs. */
+constexpr const char* kStoreRead = "store";
+constexpr const char* kStoreCheck = "store check";
+
 }  // namespace
 
 struct RelayedStore::Impl : public std::enable_shared_from_this<RelayedStore::Impl> {
@@ -127,7 +131,7 @@
     }
   }
 
-  /** Logs a read that did not return rows; `source` is "store" or the name of a VM. */
+  /** Logs a read that did not return rows; `source` is "store", kStoreCheck or the name of a VM. */
   void LogFailedRead(const std::string& table, const std::string& source, TimePoint started_at,
                      const std::string& reason) const {
     logging::LogDecision("store", "read failed",
@@ -203,16 +207,27 @@
           if (self == nullptr) {
             return;
           }
-          self->RecordStoreResult(table, started_at, result);
+          self->RecordStoreResult(table, kStoreCheck, started_at, result);
           if (IsOk(result)) {
-            self->ApplyRows(table, ValueOf(result), is_complete, started_at, true);
+            self->LogCheckResult(table, kStoreCheck, started_at, ValueOf(result));
+            self->ApplyRows(table, ValueOf(result), is_complete, started_at, kStoreCheck);
           }
           callback(std::move(result));
         });
   }
 
-  /** Records whether the store responds to this VM. */
-  void RecordStoreResult(const std::string& table, TimePoint started_at,
+  void LogCheckResult(const std::string& table, const std::string& source, TimePoint started_at,
+                      const store::TableRows& rows) const {
+    logging::LogDecision("store", "check ended",
+                         {{"table", table},
+                          {"peer", source},
+                          {"version", store::FormatVersion(rows.version)},
+                          {"rows", std::to_string(rows.rows.size())},
+                          {"ms", std::to_string(ToMillis(loop.Now() - started_at))}});
+  }
+
+  /** Records whether the store responds to this VM; `source` is kStoreRead or kStoreCheck. */
+  void RecordStoreResult(const std::string& table, const std::string& source, TimePoint started_at,
                          const Result<store::TableRows>& result) {
     if (IsOk(result)) {
       monitor.OnResponse(table, started_at, ValueOf(result));
@@ -222,7 +237,7 @@
       monitor.OnResponding();
       return;
     }
-    LogFailedRead(table, "store", started_at, ErrorOf(result).detail);
+    LogFailedRead(table, source, started_at, ErrorOf(result).detail);
     monitor.OnFailure(table, started_at);
     selector.OnStale(own_vm, loop.Now());
     state.tables[table].fresh_at.reset();
@@ -232,11 +247,11 @@
   void OnStoreResult(const std::string& table, std::optional<std::uint64_t> after,
                      std::uint64_t sequence, int peers_tried, const StoreRead& read,
                      const Result<store::TableRows>& result) {
-    RecordStoreResult(table, read.started_at, result);
+    RecordStoreResult(table, kStoreRead, read.started_at, result);
     state.tables[table].reader = {};
     if (IsOk(result)) {
       UpdateTable(table, sequence, ValueOf(result), !after.has_value(),
-                  monitor.CurrentAt(ValueOf(result), read), true);
+                  monitor.CurrentAt(ValueOf(result), read), kStoreRead);
     } else if (ErrorOf(result).code != ErrorCode::kConflict && peers_tried < kMaxPeersTried) {
       // The store may refuse this VM but serve other VMs.
       ReadFromNextSource(table, after, sequence, peers_tried + 1);
@@ -314,7 +329,7 @@
     if (value.since_outage.has_value()) {
       monitor.OnOutageEnded(sent_at - *value.since_outage);
     }
-    UpdateTable(table, sequence, value.rows, !after.has_value(), sent_at - value.age, false);
+    UpdateTable(table, sequence, value.rows, !after.has_value(), sent_at - value.age, peer.vm);
     Complete(table, sequence, value.rows);
   }
 
@@ -348,21 +363,21 @@
   }
 
   void UpdateTable(const std::string& table, std::uint64_t sequence, const store::TableRows& rows,
-                   bool is_complete, TimePoint fresh_at, bool from_store) {
+                   bool is_complete, TimePoint fresh_at, const std::string& source) {
     if (sequence == ReadOf(table).sequence) {
-      ApplyRows(table, rows, is_complete, fresh_at, from_store);
+      ApplyRows(table, rows, is_complete, fresh_at, source);
     }
   }
 
   void ApplyRows(const std::string& table, const store::TableRows& rows, bool is_complete,
-                 TimePoint fresh_at, bool from_store) {
+                 TimePoint fresh_at, const std::string& source) {
     TableState& table_state = state.tables[table];
     if (rows.version < table_state.rows.Version()) {
       logging::LogDecision("store", "older rows ignored",
                            {{"table", table},
                             {"version", store::FormatVersion(rows.version)},
                             {"known", store::FormatVersion(table_state.rows.Version())},
-                            {"from_store", from_store ? "yes" : "no"}});
+                            {"peer", source}});
       return;
     }
     monitor.OnVersion(rows.version);
@@ -370,7 +385,8 @@
       table_state.fresh_at = fresh_at;
     }
     RecordConfirmation(table, fresh_at);
-    table_state.from_store = from_store;
+    table_state.from_store = source == kStoreRead || source == kStoreCheck;
+    table_state.source = source;
     table_state.rows.Apply(rows, is_complete);
     peer_request_handler.OnRows(table);
   }
@@ -443,6 +459,11 @@
   return found == m_impl->state.tables.end() ? 0 : found->second.rows.NewestChange();
 }
 
+std::string RelayedStore::SourceOf(const std::string& table) const {
+  const auto found = m_impl->state.tables.find(table);
+  return found == m_impl->state.tables.end() ? "" : found->second.source;
+}
+
 std::optional<TimePoint> RelayedStore::ConfirmedAt(const std::string& table) const {
   return m_impl->ConfirmedAt(table);
 }
--- a/libs/gateway/src/store_copy.cc
+++ b/libs/gateway/src/store_copy.cc
@@ -30,6 +30,7 @@
 
 struct StoreCopy::Impl : public TableFollowerObserver {
   net::EventLoop& loop;
+  const ConfirmedTableStore& confirmed_store;
   StoreLayout layout;
   const RecordDecoder& decoder;
   routes::RouteTable& routes;
@@ -41,11 +42,12 @@
   TableFollower workers;
 
   Impl(net::EventLoop& event_loop, RandomGenerator& random, metrics::MetricsRegistry& metrics,
-       ConfirmedTableStore& store, const StoreLayout& store_layout,
+       ConfirmedTableStore& table_store, const StoreLayout& store_layout,
        const RecordDecoder& record_decoder, routes::RouteTable& route_table,
        dispatch::WorkerRegistry& worker_registry, const StoreCopyOptions& options,
        StoreCopyObserver& copy_observer)
       : loop(event_loop),
+        confirmed_store(table_store),
         layout(store_layout),
         decoder(record_decoder),
         routes(route_table),
@@ -54,9 +56,9 @@
             std::chrono::duration_cast<Duration>(options.worker_drain * kRemovalDelayFraction)),
         observer(copy_observer),
         unreadable_rows(metrics.CounterOf("qh_store_unreadable_rows_total")),
-        configuration(loop, random, store, layout.configuration_table, CatchUp::kFullRead,
+        configuration(loop, random, table_store, layout.configuration_table, CatchUp::kFullRead,
                       ConfirmationLimitsFor(options.apply_within), *this),
-        workers(loop, random, store, layout.workers_table, CatchUp::kIncremental,
+        workers(loop, random, table_store, layout.workers_table, CatchUp::kIncremental,
                 ConfirmationLimitsFor(options.apply_within), *this) {}
 
   void OnRows(const std::string& table, const store::TableRows& rows, bool is_complete) override {
@@ -96,6 +98,7 @@
                            {{"version", std::to_string(version)},
                             {"before", std::to_string(before)},
                             {"store_version", store::FormatVersion(row.version)},
+                            {"peer", confirmed_store.SourceOf(layout.configuration_table)},
                             {"routes", std::to_string(routes.Configuration().routes.size())}});
         observer.OnConfigurationApplied();
       } else if (version < before) {
--- a/libs/gateway/test/test_table_follower.cc
+++ b/libs/gateway/test/test_table_follower.cc
@@ -29,6 +29,7 @@
   std::optional<TimePoint> ConfirmedAt(const std::string& /*table*/) const override {
     return confirmed_at;
   }
+  std::string SourceOf(const std::string& /*table*/) const override { return ""; }
   void CheckStore(const std::string& /*table*/, std::optional<std::uint64_t> after,
                   Callback<store::TableRows> callback) override {
     checks.push_back(after.has_value() ? "after " + std::to_string(*after) : "full");
