--- a/libs/gateway/test/test_announced_changes.cc
+++ b/libs/gateway/test/test_announced_changes.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "quetzalhinge/gateway/gateway_process.h"
+#include "quetzalhinge/http/client_connection.h"
 
 namespace qh::gateway {
 
@@ -31,11 +32,17 @@
     View(net::EventLoop& loop, SharedStore& shared) : m_loop(loop), m_shared(shared) {}
 
     void ReadTable(const std::string& table, Callback<store::TableRows> callback) override {
-      Respond(table, 0, std::move(callback));
+      if (is_silent) {
+        ++swallowed_reads;
+      } else {
+        Respond(table, 0, std::move(callback));
+      }
     }
     void AwaitChanges(const std::string& table, std::uint64_t after, std::chrono::milliseconds wait,
                       Callback<store::TableRows> callback) override {
-      if (wait == 0ms) {
+      if (is_silent) {
+        ++swallowed_reads;
+      } else if (wait == 0ms) {
         checks += table == kConfigurationTable ? 1 : 0;
         Respond(table, after, std::move(callback));
       } else if (swallowed_table == table) {
@@ -67,6 +74,9 @@
     /** Waits for changes of this table get no response. */
     std::string swallowed_table;
     int swallowed_waits = 0;
+    /** No call gets a response from now on. */
+    bool is_silent = false;
+    int swallowed_reads = 0;
     /** Reads of changes of the configuration without waiting. */
     int checks = 0;
 
@@ -164,6 +174,26 @@
   }
 };
 
+/** Returns the version of the configuration in force, as the metrics of the VM show it. */
+double ConfigurationVersion(net::EventLoop& loop, int number) {
+  http::ClientConnection connection(loop, EntryVm::SettingsOf(number).internal, {});
+  http::ClientRequest call;
+  call.request = {"GET", "/metrics", {}, ""};
+  call.timeout = kMaxDelay;
+  std::optional<http::HttpCallResult> result;
+  connection.Start(call, [&](http::HttpCallResult value) { result = std::move(value); });
+  while (!result.has_value()) {
+    loop.RunOnce(10ms);
+  }
+  const auto* response = std::get_if<http::HttpResponse>(&*result);
+  REQUIRE(response != nullptr);
+  const std::string text(response->body.Bytes());
+  const std::string name = "\nqh_configuration_version ";
+  const std::size_t found = text.find(name);
+  REQUIRE(found != std::string::npos);
+  return std::stod(text.substr(found + name.size()));
+}
+
 }  // namespace
 
 // Guards against an announced configuration that a VM does not read because it already knows a
@@ -202,4 +232,34 @@
   }
 }
 
+// Guards against a configuration that stays out of force while every way to the store fails,
+// although the VM that announced it can be asked.
+SCENARIO("A VM that the store does not answer takes an announced configuration from another VM") {
+  net::EventLoop loop;
+  const FakePlatform platform;
+  SharedStore shared;
+  shared.Put(kConfigurationTable, kConfigurationKey, "1");
+  shared.Put(kWorkersTable, "worker", "");
+  EntryVm announcing(loop, shared, platform, 1);
+  EntryVm cut_off(loop, shared, platform, 2);
+  const auto run_until = [&](const std::function<bool()>& is_done) {
+    const TimePoint end = loop.Now() + kMaxDelay;
+    while (!is_done() && loop.Now() < end) {
+      loop.RunOnce(10ms);
+    }
+    return is_done();
+  };
+  REQUIRE(run_until([&] { return announcing.store.Waits() == 2 && cut_off.store.Waits() == 2; }));
+  REQUIRE(ConfigurationVersion(loop, 2) == 1);
+
+  WHEN("the configuration changes and the store no longer answers one of the VMs") {
+    cut_off.store.is_silent = true;
+    shared.Put(kConfigurationTable, kConfigurationKey, "2");
+    announcing.store.RespondToWaits();
+    THEN("that VM applies it nevertheless") {
+      CHECK(run_until([&] { return ConfigurationVersion(loop, 2) == 2; }));
+    }
+  }
+}
+
 }  // namespace qh::gateway
