Do not give up a response of the store that keeps arriving

A read of the store had 700 ms for its whole response. Rows of 530 KB need 0.43 s alone on that link, and more beside another read of the same rows, so that all reads failed, started again, and failed. Not fixed by this alone: reads of the same rows still share the link.

--- a/libs/http/include/quetzalhinge/http/client_connection.h
+++ b/libs/http/include/quetzalhinge/http/client_connection.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "quetzalhinge/base/ip_endpoint.h"
@@ -24,6 +25,14 @@
   ReaderLimits limits;
 };
 
+/** Time-outs of a response from its first byte on, for responses that may take long to arrive. */
+struct TransferTimeouts {
+  /** Longest time without a byte. */
+  std::chrono::milliseconds stall{1000};
+  /** Longest time from the first byte to the end of the response. */
+  std::chrono::milliseconds total{10000};
+};
+
 /** A request and how to send it. */
 struct ClientRequest {
   /** Method, path, headers and body. The Host and Content-Length fields are added on sending. */
@@ -32,6 +41,8 @@
   std::string host;
   /** Time-out for the whole call, including establishing the connection. */
   std::chrono::milliseconds timeout{1000};
+  /** If set, `timeout` only covers the time until the first byte of the response. */
+  std::optional<TransferTimeouts> transfer;
   /**
    * Returns whether a complete response belongs to this request. Any other response is a late one
    * to an earlier call: it is discarded, and the connection is not reused. If empty, every response
@@ -62,6 +73,9 @@
   /** Returns whether a call may start: none is in progress and the connection can be reused. */
   bool IsIdle() const noexcept;
 
+  /** Returns whether a response to the call in progress has started to arrive. */
+  bool IsReceiving() const noexcept;
+
   /** Returns whether the connection is closed or must not be reused. */
   bool IsUnusable() const noexcept;
 
--- a/libs/http/src/client_connection.cc
+++ b/libs/http/src/client_connection.cc
@@ -54,6 +54,10 @@
   bool saw_unmatched_response = false;
   CallStage stage = CallStage::kNotConnected;
   TimePoint deadline{};
+  std::optional<TransferTimeouts> transfer_timeouts;
+  /** Start of the response and time of its last bytes; set only during a response. */
+  std::optional<TimePoint> receiving_since;
+  TimePoint received_at{};
   TimePoint idle_until{};
 
   Impl(net::EventLoop& event_loop, IpEndpoint peer_endpoint, const ClientConnectionOptions& opts)
@@ -81,6 +85,8 @@
     in_call = true;
     stage = established ? CallStage::kSent : CallStage::kNotConnected;
     deadline = loop.Now() + request.timeout;
+    transfer_timeouts = request.transfer;
+    receiving_since.reset();
     reader.Restart(is_head);
     if (!tcp->IsOpen()) {
       // Posted, because callers expect the callback only after this function has returned.
@@ -100,13 +106,13 @@
     established = true;
     if (in_call) {
       stage = CallStage::kSent;
-      timer.StartOnce(
-          std::max(milliseconds(1), std::chrono::ceil<milliseconds>(deadline - loop.Now())));
+      StartTimerUntil(deadline);
     }
   }
 
   void OnBytes(std::string_view bytes) override {
     const auto self = shared_from_this();
+    RecordProgress();
     while (!bytes.empty() && in_call && !unusable) {
       bytes.remove_prefix(reader.Read(bytes));
       if (reader.IsHeadComplete()) {
@@ -129,6 +135,25 @@
     }
   }
 
+  void RecordProgress() {
+    received_at = loop.Now();
+    if (in_call && !receiving_since.has_value()) {
+      receiving_since = received_at;
+      if (transfer_timeouts.has_value()) {
+        StartTimerUntil(TransferDeadline());
+      }
+    }
+  }
+
+  TimePoint TransferDeadline() const {
+    return std::min(received_at + transfer_timeouts->stall,
+                    *receiving_since + transfer_timeouts->total);
+  }
+
+  void StartTimerUntil(TimePoint end) {
+    timer.StartOnce(std::max(milliseconds(1), std::chrono::ceil<milliseconds>(end - loop.Now())));
+  }
+
   /** Fails the call if its response is rejected; no effect on a later call. */
   void OnReaderFault() {
     if (reader.Fault().has_value()) {
@@ -175,6 +200,12 @@
   }
 
   void OnTimer() {
+    const bool is_transfer = transfer_timeouts.has_value() && receiving_since.has_value();
+    if (is_transfer && loop.Now() < TransferDeadline()) {
+      // Bytes have arrived since the timer was started.
+      StartTimerUntil(TransferDeadline());
+      return;
+    }
     Fail(ErrorCode::kTimeout, established ? "wait for response" : "connect", "no progress in time",
          false);
   }
@@ -189,6 +220,7 @@
 
   void Finish(HttpCallResult result) {
     in_call = false;
+    receiving_since.reset();
     timer.Stop();
     if (unusable) {
       tcp.reset();
@@ -220,6 +252,7 @@
 }
 
 bool ClientConnection::IsIdle() const noexcept { return !m_impl->in_call && !m_impl->unusable; }
+bool ClientConnection::IsReceiving() const noexcept { return m_impl->receiving_since.has_value(); }
 bool ClientConnection::IsUnusable() const noexcept { return m_impl->unusable; }
 TimePoint ClientConnection::IdleUntil() const noexcept { return m_impl->idle_until; }
 
