Start no read of a table while rows of it arrive

With 1,500 routes each brings 530 KB, and on a link of 10 Mbit/s they delay each other until the next ones start: the load that a delay causes is what keeps the delay up, so that it outlasts its trigger by half a minute and more. Change: a check, on schedule or because a change was announced, and a read of the store wait while a response with rows of the table is arriving. A wait that was postponed continues from what a check has brought. Test: test_table_follower, "A follower starts no check while rows of its table arrive", failed before (1 of 24 assertions).

--- a/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
@@ -88,6 +88,7 @@
   void ReadTable(const std::string& table, Callback<store::TableRows> callback) override;
   void AwaitChanges(const std::string& table, std::uint64_t after, std::chrono::milliseconds wait,
                     Callback<store::TableRows> callback) override;
+  bool IsReceiving(const std::string& table) const override;
   void WriteRow(const std::string& table, const std::string& key, const std::string& value,
                 Callback<Success> callback) override;
 
--- a/libs/gateway/include/quetzalhinge/gateway/table_follower.h
+++ b/libs/gateway/include/quetzalhinge/gateway/table_follower.h
@@ -61,7 +61,7 @@
 
   /**
    * Checks the table at the store now, also if a read is in progress or waits for the end of the
-   * backoff. Requires Start().
+   * backoff, but not while rows of the table are arriving. Requires Start().
    */
   void CheckNow();
 
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -26,6 +26,9 @@
  */
 constexpr int kMaxPeersTried = 10;
 
+/** Pause before a read of a table of which another read is receiving rows. */
+constexpr milliseconds kReceivingPause{50};
+
 /** Sources of rows in logs, beside the names of VMs. */
 constexpr const char* kStoreRead = "store";
 constexpr const char* kStoreCheck = "store check";
@@ -153,6 +156,19 @@
     return found == state.tables.end() ? std::nullopt : found->second.confirmed_at;
   }
 
+  void ReadFromStoreLater(const std::string& table, std::optional<std::uint64_t> after,
+                          std::uint64_t sequence, int peers_tried, Duration pause) {
+    std::unique_ptr<net::Timer>& timer = ReadOf(table).pause_timer;
+    timer = std::make_unique<net::Timer>(loop, [this, table, after, sequence, peers_tried] {
+      // A check may have brought newer rows during the pause.
+      const auto newest = after.has_value()
+                              ? std::optional(std::max(*after, state.tables[table].rows.Version()))
+                              : std::nullopt;
+      ReadFromStore(table, newest, sequence, peers_tried);
+    });
+    timer->StartOnce(std::chrono::ceil<milliseconds>(pause));
+  }
+
   void ReadFromStore(const std::string& table, std::optional<std::uint64_t> after,
                      std::uint64_t sequence, int peers_tried) {
     TableRead& current = ReadOf(table);
@@ -160,12 +176,13 @@
       return;
     }
     if (loop.Now() < current.pace.NotBefore()) {
-      const Duration left = current.pace.NotBefore() - loop.Now();
-      current.pause_timer =
-          std::make_unique<net::Timer>(loop, [this, table, after, sequence, peers_tried] {
-            ReadFromStore(table, after, sequence, peers_tried);
-          });
-      current.pause_timer->StartOnce(std::chrono::ceil<milliseconds>(left));
+      ReadFromStoreLater(table, after, sequence, peers_tried,
+                         current.pace.NotBefore() - loop.Now());
+      return;
+    }
+    if (direct_store.IsReceiving(table)) {
+      // Two responses on a slow link would take longer than one after the other.
+      ReadFromStoreLater(table, after, sequence, peers_tried, kReceivingPause);
       return;
     }
     if (monitor.IsBlockedByOutage(table)) {
@@ -482,6 +499,10 @@
   m_impl->Read(table, after, std::move(callback));
 }
 
+bool RelayedStore::IsReceiving(const std::string& table) const {
+  return m_impl->direct_store.IsReceiving(table);
+}
+
 void RelayedStore::WriteRow(const std::string& table, const std::string& key,
                             const std::string& value, Callback<Success> callback) {
   m_impl->direct_store.WriteRow(table, key, value, std::move(callback));
--- a/libs/gateway/src/table_follower.cc
+++ b/libs/gateway/src/table_follower.cc
@@ -17,6 +17,9 @@
 /** Pause between two waits, so that changes in quick succession are read in one batch. */
 constexpr milliseconds kBatchPause{20};
 
+/** Pause before a check of a table of which another read is receiving rows. */
+constexpr milliseconds kReceivingPause{50};
+
 /** Backoff after a failure, doubled with each further failure up to the maximum. */
 constexpr milliseconds kMinBackoff{100};
 constexpr milliseconds kMaxBackoff{800};
@@ -110,10 +113,21 @@
     if (confirmed_at.has_value()) {
       schedule.OnConfirmed(*confirmed_at);
     }
-    if (loop.Now() >= schedule.NextCheck()) {
+    if (loop.Now() < schedule.NextCheck()) {
+      ScheduleCheck();
+    } else if (store.IsReceiving(table)) {
+      check_timer.StartOnce(kReceivingPause);
+    } else {
+      StartCheck();
+      ScheduleCheck();
+    }
+  }
+
+  /** Starts a check unless rows are arriving: it would only delay them. */
+  void CheckUnlessReceiving() {
+    if (!store.IsReceiving(table)) {
       StartCheck();
     }
-    ScheduleCheck();
   }
 
   void StartCheck() {
@@ -189,7 +203,7 @@
 
 void TableFollower::RetryNow() { m_impl->EndBackoff(); }
 
-void TableFollower::CheckNow() { m_impl->StartCheck(); }
+void TableFollower::CheckNow() { m_impl->CheckUnlessReceiving(); }
 
 void TableFollower::SetMinCheckRetry(Duration interval) { m_impl->schedule.SetMinRetry(interval); }
 
--- a/libs/gateway/test/test_table_follower.cc
+++ b/libs/gateway/test/test_table_follower.cc
@@ -36,6 +36,8 @@
     m_pending_check = std::move(callback);
   }
 
+  bool IsReceiving(const std::string& /*table*/) const override { return is_receiving; }
+
   bool HasPendingCheck() const { return m_pending_check != nullptr; }
   void RespondToCheck(Result<store::TableRows> result) {
     std::exchange(m_pending_check, nullptr)(std::move(result));
@@ -48,6 +50,7 @@
   std::vector<std::string> calls;
   std::vector<std::string> checks;
   std::optional<TimePoint> confirmed_at;
+  bool is_receiving = false;
 
  private:
   Callback<store::TableRows> m_pending_callback;
@@ -150,6 +153,23 @@
   CHECK(fixture.store.checks.back() == "after 7");
 }
 
+// Guards against reads of the same rows that share a slow link, so that none of them ends in time.
+TEST_CASE("A follower starts no check while rows of its table arrive") {
+  Fixture fixture(CatchUp::kFullRead);
+  fixture.store.is_receiving = true;
+  fixture.follower.CheckNow();
+  const TimePoint end = fixture.loop.Now() + 5 * kLimits.max_unconfirmed;
+  while (fixture.loop.Now() < end) {
+    fixture.loop.RunOnce(milliseconds(10));
+  }
+  CHECK(fixture.store.checks.empty());
+  SECTION("but soon after they have stopped arriving") {
+    fixture.store.is_receiving = false;
+    fixture.AwaitCheck();
+    CHECK(fixture.store.checks.back() == "after 7");
+  }
+}
+
 TEST_CASE("A follower checks the store while its copy is not confirmed") {
   Fixture fixture(CatchUp::kFullRead);
   REQUIRE(fixture.store.HasPendingCall());
--- a/libs/store/include/quetzalhinge/store/table_store.h
+++ b/libs/store/include/quetzalhinge/store/table_store.h
@@ -57,6 +57,12 @@
   virtual void AwaitChanges(const std::string& table, std::uint64_t after,
                             std::chrono::milliseconds wait, Callback<TableRows> callback) = 0;
 
+  /**
+   * Returns whether a response with rows of `table` has started to arrive and not ended. False if
+   * the store cannot tell.
+   */
+  virtual bool IsReceiving(const std::string& /*table*/) const { return false; }
+
   /**
    * Writes one row unconditionally. After an error, the row may have been written or may still be
    * written later.
