Ask other VMs beside the store while a copy is not known to be current

Its checks went to the store only, which the read in progress may wait for too; what a VM knows was passed on within its zone only, and only while it read the store itself. Change: beside each check, on schedule or because a change was announced, a VM asks one VM of its zone and one of another zone what they know; those with a newer revision first, otherwise at random. They answer at once, with the age of what they know, so a VM still knows how current its copy is. Versions decide as before, so an older answer changes nothing. VMs of the release before ignore the new parameter and answer as before (by reading; not run).

--- a/libs/gateway/include/quetzalhinge/gateway/confirmed_table_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/confirmed_table_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -15,6 +16,9 @@
  */
 class ConfirmedTableStore : public store::TableStore {
  public:
+  /** `is_complete`: all rows of the table; otherwise only the changed ones. */
+  using PeerCheckCallback = std::function<void(const store::TableRows& rows, bool is_complete)>;
+
   /**
    * Returns when this VM's copy of `table` was last known to be current at the store; std::nullopt
    * before the first read.
@@ -34,6 +38,14 @@
    */
   virtual void CheckStore(const std::string& table, std::optional<std::uint64_t> after,
                           Callback<store::TableRows> callback) = 0;
+
+  /**
+   * Asks some other VMs for the rows of `table` that changed after store version `after`, as far as
+   * they know. None of them waits for changes or asks the store. Runs the callback once for each VM
+   * that responds with rows which are not older than this VM's copy.
+   */
+  virtual void CheckPeers(const std::string& table, std::uint64_t after,
+                          PeerCheckCallback callback) = 0;
 };
 
 }  // namespace qh::gateway
--- a/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
@@ -17,7 +17,10 @@
 
 namespace qh::gateway {
 
-/** Path at which VMs relay rows: "?table=...&after=<store version>&wait=<ms>". */
+/**
+ * Path at which VMs relay rows: "?table=...&after=<store version>&wait=<ms>". With "known=1" in
+ * place of "wait", a VM responds at once with what it knows, whether or not it reads the store.
+ */
 inline constexpr const char* kRelayPath = "/internal/store-rows";
 
 /**
@@ -60,6 +63,9 @@
    */
   void OnEra(std::function<void(std::uint64_t era)> callback);
 
+  /** Sets the function that chooses the VMs for CheckPeers(); without it there are none. */
+  void OnPeersNeeded(std::function<std::vector<RelayPeer>()> choose);
+
   /** Sets the other live VMs of the zone. */
   void SetPeers(const std::vector<RelayPeer>& peers);
 
@@ -85,6 +91,8 @@
   std::string SourceOf(const std::string& table) const override;
   void CheckStore(const std::string& table, std::optional<std::uint64_t> after,
                   Callback<store::TableRows> callback) override;
+  void CheckPeers(const std::string& table, std::uint64_t after,
+                  PeerCheckCallback callback) override;
   void ReadTable(const std::string& table, Callback<store::TableRows> callback) override;
   void AwaitChanges(const std::string& table, std::uint64_t after, std::chrono::milliseconds wait,
                     Callback<store::TableRows> callback) override;
--- a/libs/gateway/include/quetzalhinge/gateway/row_copy.h
+++ b/libs/gateway/include/quetzalhinge/gateway/row_copy.h
@@ -66,7 +66,9 @@
   /** Time from the receipt of the request to the response. */
   Duration held{};
   /** Time since the store recovered from its last outage; absent if the sender reports none. */
-  std::optional<Duration> since_outage;
+  std::optional<Duration> since_outage = std::nullopt;
+  /** Whether these are all rows of the table although only changes were requested. */
+  bool is_complete = false;
 };
 
 /** Encodes `relayed` as JSON for another VM. */
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -6,6 +6,7 @@
 #include "gateway_gossip.h"
 #include "quetzalhinge/gateway/address_choice.h"
 #include "quetzalhinge/gateway/call_service.h"
+#include "quetzalhinge/gateway/check_peers.h"
 #include "quetzalhinge/gateway/limit_watch.h"
 #include "quetzalhinge/gateway/relayed_store.h"
 #include "quetzalhinge/gateway/store_copy.h"
@@ -139,6 +140,10 @@
     overload_monitor.Watch("addresses", address_server);
     overload_monitor.Watch("internal", internal_server);
     relayed_store.OnEra([this](std::uint64_t era) { registration.OnStoreEra(era); });
+    relayed_store.OnPeersNeeded([this] {
+      return ChooseCheckPeers(gossip.Members().ActiveMembers(loop.Now()), settings.zone,
+                              NewestKnownChange(), random);
+    });
     relayed_store.OnStoreRecovered([this](Duration ago) { store_copy.OnStoreRecovered(ago); });
   }
 
--- a/libs/gateway/src/peer_request_handler.cc
+++ b/libs/gateway/src/peer_request_handler.cc
@@ -55,7 +55,8 @@
 }
 
 void PeerRequestHandler::RespondWithRows(const Request& request, const TableState& state,
-                                         const store::TableRows& rows) const {
+                                         const store::TableRows& rows, TimePoint current_at,
+                                         bool is_complete) const {
   std::size_t bytes = 0;
   for (const store::StoredRow& row : rows.rows) {
     bytes += row.value.size();
@@ -65,7 +66,11 @@
     return;
   }
   const TimePoint now = m_loop.Now();
-  RelayedRows relayed{rows, now - *state.fresh_at, now - request.received_at, std::nullopt};
+  RelayedRows relayed;
+  relayed.rows = rows;
+  relayed.is_complete = is_complete;
+  relayed.age = now - current_at;
+  relayed.held = now - request.received_at;
   if (m_state.store_recovered_at.has_value() &&
       now - *m_state.store_recovered_at < kOutageReportTime) {
     relayed.since_outage = now - *m_state.store_recovered_at;
@@ -80,12 +85,23 @@
     return true;
   }
   if (!changes->rows.empty()) {
-    RespondWithRows(request, state, *changes);
+    RespondWithRows(request, state, *changes, *state.fresh_at, false);
     return true;
   }
   return false;
 }
 
+void PeerRequestHandler::RespondWithKnownRows(const Request& request,
+                                              const TableState& state) const {
+  if (!state.confirmed_at.has_value()) {
+    request.exchange->Respond({kRelayNotFresh, {}, "", false});
+    return;
+  }
+  const auto changes = state.rows.ChangesSince(request.after);
+  RespondWithRows(request, state, changes.has_value() ? *changes : state.rows.All(),
+                  *state.confirmed_at, !changes.has_value());
+}
+
 void PeerRequestHandler::Refuse(http::ServerExchange& exchange, const TableState& state) const {
   if (m_state.store_failing_since.has_value()) {
     exchange.Respond({kRelayNotFresh, {}, "", false});
@@ -94,7 +110,7 @@
   exchange.Respond({kRelayNotReader, {}, FormatReader(state.reader), false});
 }
 
-void PeerRequestHandler::Handle(std::shared_ptr<http::ServerExchange> exchange) {
+void PeerRequestHandler::Handle(const std::shared_ptr<http::ServerExchange>& exchange) {
   const std::string& path = exchange->Request().path;
   if (http::PathOnly(path) == kFormerRelayPath) {
     exchange->Respond({kRelayNotReader, {}, "", false});
@@ -102,14 +118,18 @@
   }
   const std::string table = http::QueryParameter(path, "table").value_or("");
   const TableState& state = StateOf(table);
+  const TimePoint now = m_loop.Now();
+  Request request{exchange, table, QueryNumber(path, "after"), now, now};
+  if (http::QueryParameter(path, "known").has_value()) {
+    RespondWithKnownRows(request, state);
+    return;
+  }
   if (!IsFresh(state)) {
     Refuse(*exchange, state);
     return;
   }
-  const TimePoint now = m_loop.Now();
-  Request request{std::move(exchange), table, QueryNumber(path, "after"), now, now};
   if (!http::QueryParameter(path, "after").has_value()) {
-    RespondWithRows(request, state, state.rows.All());
+    RespondWithRows(request, state, state.rows.All(), *state.fresh_at, false);
     return;
   }
   if (!RespondIfChanged(request, state)) {
@@ -136,7 +156,7 @@
     }
     const bool has_responded = RespondIfChanged(waiter, state);
     if (!has_responded && is_fresh) {
-      RespondWithRows(waiter, state, {{}, state.rows.Version()});
+      RespondWithRows(waiter, state, {{}, state.rows.Version()}, *state.fresh_at, false);
     }
     return !has_responded && !is_fresh;
   });
@@ -162,7 +182,7 @@
     }
     const TableState& state = StateOf(waiter.table);
     if (IsFresh(state)) {
-      RespondWithRows(waiter, state, {{}, state.rows.Version()});
+      RespondWithRows(waiter, state, {{}, state.rows.Version()}, *state.fresh_at, false);
     } else {
       Refuse(*waiter.exchange, state);
     }
--- a/libs/gateway/src/peer_request_handler.h
+++ b/libs/gateway/src/peer_request_handler.h
@@ -25,7 +25,7 @@
       : m_loop(loop), m_state(state) {}
 
   /** Handles a request of another VM; the response may follow later. */
-  void Handle(std::shared_ptr<http::ServerExchange> exchange);
+  void Handle(const std::shared_ptr<http::ServerExchange>& exchange);
 
   /**
    * Responds to the peers that wait for changes of `table`, after a read of it has ended: with the
@@ -51,8 +51,17 @@
 
   const TableState& StateOf(const std::string& table) const;
   bool IsFresh(const TableState& state) const;
+  /**
+   * Sends `rows`, which were last known to be current at `current_at`. `is_complete`: all rows of
+   * the table in place of the requested changes.
+   */
   void RespondWithRows(const Request& request, const TableState& state,
-                       const store::TableRows& rows) const;
+                       const store::TableRows& rows, TimePoint current_at, bool is_complete) const;
+  /**
+   * Sends the requested changes, even none, as far as this VM knows them; all rows if it may no
+   * longer know all removals.
+   */
+  void RespondWithKnownRows(const Request& request, const TableState& state) const;
   /** Sends the requested changes if there are any; returns whether a response was sent. */
   bool RespondIfChanged(const Request& request, const TableState& state) const;
   void Refuse(http::ServerExchange& exchange, const TableState& state) const;
--- a/libs/gateway/src/peer_rows_client.h
+++ b/libs/gateway/src/peer_rows_client.h
@@ -36,6 +36,13 @@
   void Request(const RelayPeer& peer, const std::string& table, std::optional<std::uint64_t> after,
                Callback callback);
 
+  /**
+   * Requests the changes of `table` after the store version `after` that `peer` knows now. Does not
+   * affect other requests; the callback does not run within this call.
+   */
+  void RequestKnown(const RelayPeer& peer, const std::string& table, std::uint64_t after,
+                    Callback callback);
+
  private:
   struct Impl;
   std::shared_ptr<Impl> m_impl;
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -36,6 +36,8 @@
 }  // namespace
 
 struct RelayedStore::Impl : public std::enable_shared_from_this<RelayedStore::Impl> {
+  using PeerCheckCallback = ConfirmedTableStore::PeerCheckCallback;
+
   /** State of the reads of one table. */
   struct TableRead {
     explicit TableRead(milliseconds apply_within) : pace(apply_within) {}
@@ -58,6 +60,8 @@
   metrics::Counter& store_reads;
   metrics::Counter& store_checks;
   metrics::Counter& peer_reads;
+  metrics::Counter& peer_checks;
+  std::function<std::vector<RelayPeer>()> choose_check_peers;
   RelayState state;
   PeerRequestHandler peer_request_handler{loop, state};
   PeerRowsClient peer_rows;
@@ -75,6 +79,7 @@
         store_reads(metrics.CounterOf("qh_store_reads_total", "source=\"store\"")),
         store_checks(metrics.CounterOf("qh_store_reads_total", "source=\"store check\"")),
         peer_reads(metrics.CounterOf("qh_store_reads_total", "source=\"peer\"")),
+        peer_checks(metrics.CounterOf("qh_store_reads_total", "source=\"peer check\"")),
         peer_rows(loop, apply_within),
         monitor(loop, state, apply_within) {}
 
@@ -243,6 +248,78 @@
                           {"ms", std::to_string(ToMillis(loop.Now() - started_at))}});
   }
 
+  void CheckPeers(const std::string& table, std::uint64_t after,
+                  const PeerCheckCallback& callback) {
+    if (choose_check_peers == nullptr) {
+      return;
+    }
+    for (const RelayPeer& peer : choose_check_peers()) {
+      peer_checks.Add();
+      peer_rows.RequestKnown(peer, table, after,
+                             [weak = weak_from_this(), peer, table, after, callback,
+                              started_at = loop.Now()](const http::HttpCallResult& result) {
+                               if (const auto self = weak.lock()) {
+                                 self->OnPeerCheckResult(peer, table, after, started_at, result,
+                                                         callback);
+                               }
+                             });
+    }
+  }
+
+  void OnPeerCheckResult(const RelayPeer& peer, const std::string& table, std::uint64_t after,
+                         TimePoint started_at, const http::HttpCallResult& result,
+                         const PeerCheckCallback& callback) {
+    auto decoded = DecodePeerResponse(peer, result);
+    if (!IsOk(decoded)) {
+      LogFailedRead(table, peer.vm, started_at, ErrorOf(decoded).detail);
+      return;
+    }
+    RelayedRows relayed = TakeValue(std::move(decoded));
+    const bool is_older = IsOlder(table, !relayed.is_complete, relayed.rows.version);
+    if (!relayed.is_complete) {
+      relayed.rows.version = std::max(relayed.rows.version, after);
+    }
+    if (is_older || relayed.rows.version < state.tables[table].rows.Version()) {
+      LogFailedRead(table, peer.vm, started_at, "older rows");
+      return;
+    }
+    LogCheckResult(table, peer.vm, started_at, relayed.rows);
+    const TimePoint sent_at = SentAt(relayed, started_at);
+    ApplyCheckedRows(table, relayed, sent_at - relayed.age, peer.vm);
+    callback(relayed.rows, relayed.is_complete);
+  }
+
+  /** Applies rows of a peer without regard to whether this VM reads the table from the store. */
+  void ApplyCheckedRows(const std::string& table, const RelayedRows& relayed, TimePoint current_at,
+                        const std::string& source) {
+    monitor.OnVersion(relayed.rows.version);
+    RecordConfirmation(table, current_at);
+    if (!relayed.rows.rows.empty()) {
+      TableState& table_state = state.tables[table];
+      table_state.source = source;
+      table_state.rows.Apply(relayed.rows, relayed.is_complete);
+      peer_request_handler.OnRows(table);
+    }
+  }
+
+  static Result<RelayedRows> DecodePeerResponse(const RelayPeer& peer,
+                                                const http::HttpCallResult& result) {
+    const auto* response = std::get_if<http::HttpResponse>(&result);
+    if (response == nullptr) {
+      return std::get<http::HttpCallFailure>(result).error;
+    }
+    if (response->status != kRelayOk) {
+      return Error{ErrorCode::kUnavailable, "check rows", peer.vm,
+                   "status " + std::to_string(response->status)};
+    }
+    return DecodeRows(peer.vm, response->body);
+  }
+
+  /** Returns when a peer sent `relayed`, or an earlier time if the response was under way. */
+  TimePoint SentAt(const RelayedRows& relayed, TimePoint requested_at) const {
+    return std::min(loop.Now(), requested_at + relayed.held);
+  }
+
   /** Records whether the store responds to this VM; `source` is kStoreRead or kStoreCheck. */
   void RecordStoreResult(const std::string& table, const std::string& source, TimePoint started_at,
                          const Result<store::TableRows>& result) {
@@ -340,9 +417,7 @@
     // The store's version grows with writes to any table; a peer without changes of this table may
     // be slightly behind.
     value.rows.version = std::max(value.rows.version, after.value_or(0));
-    // The response may have been under way for some time. The peer received the request at
-    // `started_at` at the earliest.
-    const TimePoint sent_at = std::min(loop.Now(), started_at + value.held);
+    const TimePoint sent_at = SentAt(value, started_at);
     if (value.since_outage.has_value()) {
       monitor.OnOutageEnded(sent_at - *value.since_outage);
     }
@@ -410,11 +485,14 @@
 
   void RecordConfirmation(const std::string& table, TimePoint at) {
     std::optional<TimePoint>& confirmed_at = state.tables[table].confirmed_at;
+    if (confirmed_at.has_value() && at <= *confirmed_at) {
+      return;
+    }
     if (confirmed_at.has_value() && loop.Now() - *confirmed_at > apply_within) {
       logging::LogDecision("store", "confirmed late",
                            {{"table", table}, {"unconfirmed_ms", UnconfirmedMillis(table)}});
     }
-    confirmed_at = std::max(confirmed_at.value_or(at), at);
+    confirmed_at = at;
   }
 
   void Complete(const std::string& table, std::uint64_t sequence, Result<store::TableRows> result) {
@@ -441,12 +519,16 @@
   m_impl->monitor.OnEra(std::move(callback));
 }
 
+void RelayedStore::OnPeersNeeded(std::function<std::vector<RelayPeer>()> choose) {
+  m_impl->choose_check_peers = std::move(choose);
+}
+
 void RelayedStore::SetPeers(const std::vector<RelayPeer>& peers) {
   m_impl->selector.SetPeers(peers);
 }
 
 void RelayedStore::HandlePeerRequest(std::shared_ptr<http::ServerExchange> exchange) {
-  m_impl->peer_request_handler.Handle(std::move(exchange));
+  m_impl->peer_request_handler.Handle(exchange);
 }
 
 void RelayedStore::Tick() { m_impl->peer_request_handler.Tick(); }
@@ -490,6 +572,11 @@
   m_impl->CheckStore(table, after, std::move(callback));
 }
 
+void RelayedStore::CheckPeers(const std::string& table, std::uint64_t after,
+                              PeerCheckCallback callback) {
+  m_impl->CheckPeers(table, after, callback);
+}
+
 void RelayedStore::ReadTable(const std::string& table, Callback<store::TableRows> callback) {
   m_impl->Read(table, std::nullopt, std::move(callback));
 }
--- a/libs/gateway/src/row_copy.cc
+++ b/libs/gateway/src/row_copy.cc
@@ -105,6 +105,9 @@
                {"age_ms", ToMillis(relayed.age)},
                {"held_ms", ToMillis(relayed.held)},
                {"rows", std::move(list)}};
+  if (relayed.is_complete) {
+    body["complete"] = true;
+  }
   if (relayed.since_outage.has_value()) {
     body["since_outage_ms"] = ToMillis(*relayed.since_outage);
   }
@@ -121,6 +124,7 @@
     if (body.contains("held_ms")) {
       relayed.held = ParseElapsedTime(body.at("held_ms"));
     }
+    relayed.is_complete = body.value("complete", false);
     if (body.contains("since_outage_ms")) {
       relayed.since_outage = ParseElapsedTime(body.at("since_outage_ms"));
     }
--- a/libs/gateway/src/table_follower.cc
+++ b/libs/gateway/src/table_follower.cc
@@ -132,6 +132,7 @@
 
   void StartCheck() {
     schedule.OnCheckStarted(loop.Now());
+    StartPeerCheck();
     const bool is_complete = needs_full_read || check_needs_full_read;
     store.CheckStore(
         table, is_complete ? std::nullopt : std::optional(version),
@@ -142,6 +143,23 @@
         });
   }
 
+  /** Asks other VMs beside the store, since the store may answer them but not this VM. */
+  void StartPeerCheck() {
+    store.CheckPeers(table, version,
+                     [weak = weak_from_this()](const store::TableRows& rows, bool is_complete) {
+                       if (const auto self = weak.lock()) {
+                         self->OnPeerCheckResult(rows, is_complete);
+                       }
+                     });
+  }
+
+  void OnPeerCheckResult(const store::TableRows& rows, bool is_complete) {
+    if (rows.version >= version && !rows.rows.empty()) {
+      version = rows.version;
+      observer.OnRows(table, rows, is_complete);
+    }
+  }
+
   void OnCheckResult(const Result<store::TableRows>& result, bool is_complete) {
     if (IsOk(result)) {
       check_needs_full_read = false;
--- a/libs/gateway/test/test_relay.cc
+++ b/libs/gateway/test/test_relay.cc
@@ -390,6 +390,59 @@
   }
 }
 
+// Guards against a change that only VMs know which do not read the store themselves.
+SCENARIO("A VM that does not read the store says what it knows and how old that is") {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  FakeStore unused(loop);
+  unused.Refuse(true);
+  store.Put("a", "1");
+  RelayVm reader(loop, store, "reader");
+  RelayVm other(loop, unused, NameRankedAfter("reader"));
+  RelayVm asker(loop, unused, "asker");
+  const std::vector<RelayVm*> vms{&reader, &other, &asker};
+  REQUIRE(IsOk(Read(loop, vms, reader, std::nullopt)));
+  other.store.SetPeers({{"reader", reader.server.LocalEndpoint()}});
+  REQUIRE(IsOk(Read(loop, vms, other, std::nullopt)));
+  const std::vector<RelayPeer> peers{{"other", other.server.LocalEndpoint()}};
+  asker.store.OnPeersNeeded([&] { return peers; });
+  std::vector<store::TableRows> responses;
+  bool was_complete = false;
+  const auto ask = [&](std::uint64_t after) {
+    asker.store.CheckPeers("workers", after, [&](const store::TableRows& rows, bool is_complete) {
+      responses.push_back(rows);
+      was_complete = is_complete;
+    });
+  };
+
+  const TimePoint asked_at = loop.Now() + 50ms;
+  RunUntil(loop, vms, [&] { return loop.Now() >= asked_at; });
+
+  WHEN("it is asked for changes since a version before its first read") {
+    ask(0);
+    RunUntil(loop, vms, [&] { return !responses.empty(); });
+    THEN("it sends all rows, since it does not know what was removed before") {
+      CHECK(was_complete);
+      REQUIRE(responses[0].rows.size() == 1);
+      CHECK(responses[0].rows[0].value == "1");
+      CHECK(asker.store.SourceOf("workers") == "other");
+    }
+    THEN("they count as current when it last knew that they were") {
+      REQUIRE(asker.store.ConfirmedAt("workers").has_value());
+      // Ages are sent in whole milliseconds.
+      CHECK(*asker.store.ConfirmedAt("workers") <= *other.store.ConfirmedAt("workers") + 1ms);
+    }
+  }
+  WHEN("it knows no changes") {
+    ask(1);
+    RunUntil(loop, vms, [&] { return !responses.empty(); });
+    THEN("it confirms the copy without waiting for one") {
+      CHECK(responses[0].rows.empty());
+      CHECK_FALSE(was_complete);
+    }
+  }
+}
+
 // Guards against a wait at a peer that ends shortly before the peer reads again: the next wait
 // would miss that read, and the copy would not be confirmed for almost two read cycles.
 SCENARIO("A wait at a peer outlasts the time between two reads of the peer") {
--- a/libs/gateway/test/test_table_follower.cc
+++ b/libs/gateway/test/test_table_follower.cc
@@ -36,6 +36,11 @@
     m_pending_check = std::move(callback);
   }
 
+  void CheckPeers(const std::string& /*table*/, std::uint64_t after,
+                  PeerCheckCallback callback) override {
+    peer_checks.push_back(after);
+    respond_to_peer_check = std::move(callback);
+  }
   bool IsReceiving(const std::string& /*table*/) const override { return is_receiving; }
 
   bool HasPendingCheck() const { return m_pending_check != nullptr; }
@@ -51,6 +56,8 @@
   std::vector<std::string> checks;
   std::optional<TimePoint> confirmed_at;
   bool is_receiving = false;
+  std::vector<std::uint64_t> peer_checks;
+  PeerCheckCallback respond_to_peer_check;
 
  private:
   Callback<store::TableRows> m_pending_callback;
@@ -59,10 +66,14 @@
 
 class RowObserver : public TableFollowerObserver {
  public:
-  void OnRows(const std::string& /*table*/, const store::TableRows& /*rows*/,
-              bool /*is_complete*/) override {}
+  void OnRows(const std::string& /*table*/, const store::TableRows& rows,
+              bool /*is_complete*/) override {
+    rows_received += rows.rows.size();
+  }
   void OnStoreUnavailable(const std::string& /*table*/, const Error& /*error*/) override {}
   void OnStoreAvailable(const std::string& /*table*/, Duration /*outage*/) override {}
+
+  std::size_t rows_received = 0;
 };
 
 /** Checks follow soon, so that tests need not wait. */
@@ -197,6 +208,17 @@
         Error{ErrorCode::kConflict, "await changes", "store", "history gone"});
     CHECK(fixture.store.checks.back() == "full");
   }
+  SECTION("and asks other VMs beside the store, whatever the store does") {
+    REQUIRE(fixture.store.peer_checks.back() == 7);
+    fixture.store.respond_to_peer_check({{{"config", "new", 8, false}}, 8}, false);
+    CHECK(fixture.observer.rows_received == 1);
+    fixture.store.RespondToCheck(kNoResponse);
+    fixture.AwaitCheck();
+    CHECK(fixture.store.peer_checks.back() == 8);
+    // A VM that knows less than this one.
+    fixture.store.respond_to_peer_check({{{"config", "old", 6, false}}, 6}, true);
+    CHECK(fixture.observer.rows_received == 1);
+  }
   SECTION("and a successful check ends the backoff after a failed read") {
     for (int i = 0; i < 6; ++i) {
       fixture.RespondToNext(kNoResponse);
