Ask other VMs also while rows arrive from the store

On a link that loses packets a response may arrive for many seconds; other VMs can be asked meanwhile, and a small answer delays nothing.

--- a/libs/gateway/include/quetzalhinge/gateway/table_follower.h
+++ b/libs/gateway/include/quetzalhinge/gateway/table_follower.h
@@ -40,8 +40,8 @@
 
 /**
  * Follows one table: reads it once, then waits for changes and reports them to an observer. While
- * the copy is not known to be current, it also checks the table directly at the store, whatever the
- * read in progress does (see ConfirmationSchedule).
+ * the copy is not known to be current, it also checks the table directly at the store and at other
+ * VMs, whatever the read in progress does (see ConfirmationSchedule).
  */
 class TableFollower {
  public:
@@ -60,8 +60,9 @@
   void RetryNow();
 
   /**
-   * Checks the table at the store now, also if a read is in progress or waits for the end of the
-   * backoff, but not while rows of the table are arriving. Requires Start().
+   * Checks the table at the store and at other VMs now, also if a read is in progress or waits for
+   * the end of the backoff; only at other VMs while rows of the table are arriving from the store.
+   * Requires Start().
    */
   void CheckNow();
 
--- a/libs/gateway/src/table_follower.cc
+++ b/libs/gateway/src/table_follower.cc
@@ -123,9 +123,11 @@
     }
   }
 
-  /** Starts a check unless rows are arriving: it would only delay them. */
-  void CheckUnlessReceiving() {
-    if (!store.IsReceiving(table)) {
+  void CheckNow() {
+    if (store.IsReceiving(table)) {
+      // A check of the store would only delay the rows that are arriving.
+      StartPeerCheck();
+    } else {
       StartCheck();
     }
   }
@@ -221,7 +223,7 @@
 
 void TableFollower::RetryNow() { m_impl->EndBackoff(); }
 
-void TableFollower::CheckNow() { m_impl->CheckUnlessReceiving(); }
+void TableFollower::CheckNow() { m_impl->CheckNow(); }
 
 void TableFollower::SetMinCheckRetry(Duration interval) { m_impl->schedule.SetMinRetry(interval); }
 
--- a/libs/gateway/test/test_table_follower.cc
+++ b/libs/gateway/test/test_table_follower.cc
@@ -165,10 +165,11 @@
 }
 
 // Guards against reads of the same rows that share a slow link, so that none of them ends in time.
-TEST_CASE("A follower starts no check while rows of its table arrive") {
+TEST_CASE("A follower starts no check of the store while rows of its table arrive") {
   Fixture fixture(CatchUp::kFullRead);
   fixture.store.is_receiving = true;
   fixture.follower.CheckNow();
+  CHECK(fixture.store.peer_checks.size() == 1);
   const TimePoint end = fixture.loop.Now() + 5 * kLimits.max_unconfirmed;
   while (fixture.loop.Now() < end) {
     fixture.loop.RunOnce(milliseconds(10));
