Split the log lines, peer checks and updates of tables from RelayedStore

RelayLog writes the lines, PeerCheck asks other VMs, TableUpdates applies rows and tells the peers that wait. No change of behaviour. Adds the missing test that a read waits while rows arrive and continues from what a check has brought (test_relay; no run on the code before the change that it covers).

--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "peer_check.h"
 #include "peer_request_handler.h"
 #include "peer_rows_client.h"
 #include "quetzalhinge/gateway/row_copy.h"
@@ -12,8 +13,10 @@
 #include "quetzalhinge/net/timer.h"
 #include "quetzalhinge/store/store_version.h"
 #include "read_pace.h"
+#include "relay_log.h"
 #include "relay_state.h"
 #include "store_monitor.h"
+#include "table_updates.h"
 
 namespace qh::gateway {
 namespace {
@@ -29,10 +32,6 @@
 /** Pause before a read of a table of which another read is receiving rows. */
 constexpr milliseconds kReceivingPause{50};
 
-/** Sources of rows in logs, beside the names of VMs. */
-constexpr const char* kStoreRead = "store";
-constexpr const char* kStoreCheck = "store check";
-
 }  // namespace
 
 struct RelayedStore::Impl : public std::enable_shared_from_this<RelayedStore::Impl> {
@@ -60,13 +59,14 @@
   metrics::Counter& store_reads;
   metrics::Counter& store_checks;
   metrics::Counter& peer_reads;
-  metrics::Counter& peer_checks;
-  std::function<std::vector<RelayPeer>()> choose_check_peers;
   RelayState state;
+  RelayLog log{loop, state};
   PeerRequestHandler peer_request_handler{loop, state};
   PeerRowsClient peer_rows;
+  PeerCheck peer_check;
   std::map<std::string, TableRead> table_reads;
   StoreMonitor monitor;
+  TableUpdates updates;
 
   Impl(net::EventLoop& event_loop, metrics::MetricsRegistry& registry, store::TableStore& store,
        const std::string& vm, milliseconds max_delay)
@@ -79,9 +79,10 @@
         store_reads(metrics.CounterOf("qh_store_reads_total", "source=\"store\"")),
         store_checks(metrics.CounterOf("qh_store_reads_total", "source=\"store check\"")),
         peer_reads(metrics.CounterOf("qh_store_reads_total", "source=\"peer\"")),
-        peer_checks(metrics.CounterOf("qh_store_reads_total", "source=\"peer check\"")),
         peer_rows(loop, apply_within),
-        monitor(loop, state, apply_within) {}
+        peer_check(loop, metrics, peer_rows, log),
+        monitor(loop, state, apply_within),
+        updates(loop, state, apply_within, monitor, peer_request_handler, log) {}
 
   TableRead& ReadOf(const std::string& table) {
     return table_reads.try_emplace(table, apply_within).first->second;
@@ -139,23 +140,6 @@
     }
   }
 
-  /** Logs a read that did not return rows; `source` is "store", kStoreCheck or the name of a VM. */
-  void LogFailedRead(const std::string& table, const std::string& source, TimePoint started_at,
-                     const std::string& reason) const {
-    logging::LogDecision("store", "read failed",
-                         {{"table", table},
-                          {"peer", source},
-                          {"reason", reason},
-                          {"ms", std::to_string(ToMillis(loop.Now() - started_at))},
-                          {"unconfirmed_ms", UnconfirmedMillis(table)}});
-  }
-
-  /** Returns the time since `table` was last known to be current, in ms, or "none". */
-  std::string UnconfirmedMillis(const std::string& table) const {
-    const auto confirmed_at = ConfirmedAt(table);
-    return confirmed_at.has_value() ? std::to_string(ToMillis(loop.Now() - *confirmed_at)) : "none";
-  }
-
   std::optional<TimePoint> ConfirmedAt(const std::string& table) const {
     const auto found = state.tables.find(table);
     return found == state.tables.end() ? std::nullopt : found->second.confirmed_at;
@@ -220,7 +204,7 @@
                   Callback<store::TableRows> callback) {
     store_checks.Add();
     logging::LogDecision("store", "check",
-                         {{"table", table}, {"unconfirmed_ms", UnconfirmedMillis(table)}});
+                         {{"table", table}, {"unconfirmed_ms", log.UnconfirmedMillis(table)}});
     RequestFromStore(
         table, after, milliseconds(0),
         [weak = weak_from_this(), table, is_complete = !after.has_value(), started_at = loop.Now(),
@@ -231,90 +215,30 @@
           }
           self->RecordStoreResult(table, kStoreCheck, started_at, result);
           if (IsOk(result)) {
-            self->LogCheckResult(table, kStoreCheck, started_at, ValueOf(result));
-            self->ApplyRows(table, ValueOf(result), is_complete, started_at, kStoreCheck);
+            self->log.CheckEnded(table, kStoreCheck, started_at, ValueOf(result));
+            self->updates.Apply(table, ValueOf(result), is_complete, started_at, kStoreCheck);
           }
           callback(std::move(result));
         });
   }
 
-  void LogCheckResult(const std::string& table, const std::string& source, TimePoint started_at,
-                      const store::TableRows& rows) const {
-    logging::LogDecision("store", "check ended",
-                         {{"table", table},
-                          {"peer", source},
-                          {"version", store::FormatVersion(rows.version)},
-                          {"rows", std::to_string(rows.rows.size())},
-                          {"ms", std::to_string(ToMillis(loop.Now() - started_at))}});
-  }
-
-  void CheckPeers(const std::string& table, std::uint64_t after,
-                  const PeerCheckCallback& callback) {
-    if (choose_check_peers == nullptr) {
-      return;
-    }
-    for (const RelayPeer& peer : choose_check_peers()) {
-      peer_checks.Add();
-      peer_rows.RequestKnown(peer, table, after,
-                             [weak = weak_from_this(), peer, table, after, callback,
-                              started_at = loop.Now()](const http::HttpCallResult& result) {
-                               if (const auto self = weak.lock()) {
-                                 self->OnPeerCheckResult(peer, table, after, started_at, result,
-                                                         callback);
-                               }
-                             });
-    }
-  }
-
-  void OnPeerCheckResult(const RelayPeer& peer, const std::string& table, std::uint64_t after,
-                         TimePoint started_at, const http::HttpCallResult& result,
+  void OnPeerCheckResult(const std::string& table, std::uint64_t after, PeerCheckResult result,
                          const PeerCheckCallback& callback) {
-    auto decoded = DecodePeerResponse(peer, result);
-    if (!IsOk(decoded)) {
-      LogFailedRead(table, peer.vm, started_at, ErrorOf(decoded).detail);
-      return;
-    }
-    RelayedRows relayed = TakeValue(std::move(decoded));
-    const bool is_older = IsOlder(table, !relayed.is_complete, relayed.rows.version);
+    RelayedRows& relayed = result.relayed;
+    const bool is_older = updates.IsOlder(table, !relayed.is_complete, relayed.rows.version);
     if (!relayed.is_complete) {
       relayed.rows.version = std::max(relayed.rows.version, after);
     }
     if (is_older || relayed.rows.version < state.tables[table].rows.Version()) {
-      LogFailedRead(table, peer.vm, started_at, "older rows");
+      log.FailedRead(table, result.peer.vm, result.requested_at, "older rows");
       return;
     }
-    LogCheckResult(table, peer.vm, started_at, relayed.rows);
-    const TimePoint sent_at = SentAt(relayed, started_at);
-    ApplyCheckedRows(table, relayed, sent_at - relayed.age, peer.vm);
+    log.CheckEnded(table, result.peer.vm, result.requested_at, relayed.rows);
+    updates.ApplyKnown(table, relayed, SentAt(relayed, result.requested_at) - relayed.age,
+                       result.peer.vm);
     callback(relayed.rows, relayed.is_complete);
   }
 
-  /** Applies rows of a peer without regard to whether this VM reads the table from the store. */
-  void ApplyCheckedRows(const std::string& table, const RelayedRows& relayed, TimePoint current_at,
-                        const std::string& source) {
-    monitor.OnVersion(relayed.rows.version);
-    RecordConfirmation(table, current_at);
-    if (!relayed.rows.rows.empty()) {
-      TableState& table_state = state.tables[table];
-      table_state.source = source;
-      table_state.rows.Apply(relayed.rows, relayed.is_complete);
-      peer_request_handler.OnRows(table);
-    }
-  }
-
-  static Result<RelayedRows> DecodePeerResponse(const RelayPeer& peer,
-                                                const http::HttpCallResult& result) {
-    const auto* response = std::get_if<http::HttpResponse>(&result);
-    if (response == nullptr) {
-      return std::get<http::HttpCallFailure>(result).error;
-    }
-    if (response->status != kRelayOk) {
-      return Error{ErrorCode::kUnavailable, "check rows", peer.vm,
-                   "status " + std::to_string(response->status)};
-    }
-    return DecodeRows(peer.vm, response->body);
-  }
-
   /** Returns when a peer sent `relayed`, or an earlier time if the response was under way. */
   TimePoint SentAt(const RelayedRows& relayed, TimePoint requested_at) const {
     return std::min(loop.Now(), requested_at + relayed.held);
@@ -331,7 +255,7 @@
       monitor.OnResponding();
       return;
     }
-    LogFailedRead(table, source, started_at, ErrorOf(result).detail);
+    log.FailedRead(table, source, started_at, ErrorOf(result).detail);
     monitor.OnFailure(table, started_at);
     selector.OnStale(own_vm, loop.Now());
     state.tables[table].fresh_at.reset();
@@ -373,7 +297,7 @@
     const auto* response = std::get_if<http::HttpResponse>(&result);
     if (response == nullptr) {
       const Error& error = std::get<http::HttpCallFailure>(result).error;
-      LogFailedRead(table, peer.vm, started_at, error.step + ": " + error.detail);
+      log.FailedRead(table, peer.vm, started_at, error.step + ": " + error.detail);
       selector.OnNoResponse(peer.vm, loop.Now());
       ReadFromNextSource(table, after, sequence, peers_tried + 1);
       return;
@@ -403,10 +327,10 @@
                        : Result<RelayedRows>(Error{ErrorCode::kUnavailable, "read rows", peer.vm,
                                                    "rows of peer not fresh"});
     const bool is_older =
-        IsOk(relayed) && IsOlder(table, after.has_value(), ValueOf(relayed).rows.version);
+        IsOk(relayed) && updates.IsOlder(table, after.has_value(), ValueOf(relayed).rows.version);
     if (!IsOk(relayed) || is_older) {
-      LogFailedRead(table, peer.vm, started_at,
-                    IsOk(relayed) ? "older rows" : ErrorOf(relayed).detail);
+      log.FailedRead(table, peer.vm, started_at,
+                     IsOk(relayed) ? "older rows" : ErrorOf(relayed).detail);
       selector.OnStale(peer.vm, loop.Now());
       ReadFromNextSource(table, after, sequence, peers_tried + 1);
       return;
@@ -425,15 +349,6 @@
     Complete(table, sequence, value.rows);
   }
 
-  /**
-   * Returns whether rows of a peer are older than `table` is here. A peer that was asked for
-   * changes and has none may be slightly behind, but not in an earlier history of the store.
-   */
-  bool IsOlder(const std::string& table, bool is_change, std::uint64_t version) {
-    const std::uint64_t known = state.tables[table].rows.Version();
-    return is_change ? store::EraOf(version) < store::EraOf(known) : version < known;
-  }
-
   /**
    * Reads from `reader`, from which `peer` reads, or from the next source if there is none. If
    * `reader` is this VM, reads the store.
@@ -457,42 +372,8 @@
   void UpdateTable(const std::string& table, std::uint64_t sequence, const store::TableRows& rows,
                    bool is_complete, TimePoint fresh_at, const std::string& source) {
     if (sequence == ReadOf(table).sequence) {
-      ApplyRows(table, rows, is_complete, fresh_at, source);
-    }
-  }
-
-  void ApplyRows(const std::string& table, const store::TableRows& rows, bool is_complete,
-                 TimePoint fresh_at, const std::string& source) {
-    TableState& table_state = state.tables[table];
-    if (rows.version < table_state.rows.Version()) {
-      logging::LogDecision("store", "older rows ignored",
-                           {{"table", table},
-                            {"version", store::FormatVersion(rows.version)},
-                            {"known", store::FormatVersion(table_state.rows.Version())},
-                            {"peer", source}});
-      return;
-    }
-    monitor.OnVersion(rows.version);
-    if (!table_state.fresh_at.has_value() || fresh_at > *table_state.fresh_at) {
-      table_state.fresh_at = fresh_at;
-    }
-    RecordConfirmation(table, fresh_at);
-    table_state.from_store = source == kStoreRead || source == kStoreCheck;
-    table_state.source = source;
-    table_state.rows.Apply(rows, is_complete);
-    peer_request_handler.OnRows(table);
-  }
-
-  void RecordConfirmation(const std::string& table, TimePoint at) {
-    std::optional<TimePoint>& confirmed_at = state.tables[table].confirmed_at;
-    if (confirmed_at.has_value() && at <= *confirmed_at) {
-      return;
-    }
-    if (confirmed_at.has_value() && loop.Now() - *confirmed_at > apply_within) {
-      logging::LogDecision("store", "confirmed late",
-                           {{"table", table}, {"unconfirmed_ms", UnconfirmedMillis(table)}});
+      updates.Apply(table, rows, is_complete, fresh_at, source);
     }
-    confirmed_at = at;
   }
 
   void Complete(const std::string& table, std::uint64_t sequence, Result<store::TableRows> result) {
@@ -520,7 +401,7 @@
 }
 
 void RelayedStore::OnPeersNeeded(std::function<std::vector<RelayPeer>()> choose) {
-  m_impl->choose_check_peers = std::move(choose);
+  m_impl->peer_check.OnPeersNeeded(std::move(choose));
 }
 
 void RelayedStore::SetPeers(const std::vector<RelayPeer>& peers) {
@@ -574,7 +455,13 @@
 
 void RelayedStore::CheckPeers(const std::string& table, std::uint64_t after,
                               PeerCheckCallback callback) {
-  m_impl->CheckPeers(table, after, callback);
+  m_impl->peer_check.Start(table, after,
+                           [weak = std::weak_ptr<Impl>(m_impl), table, after,
+                            callback = std::move(callback)](PeerCheckResult result) {
+                             if (const auto impl = weak.lock()) {
+                               impl->OnPeerCheckResult(table, after, std::move(result), callback);
+                             }
+                           });
 }
 
 void RelayedStore::ReadTable(const std::string& table, Callback<store::TableRows> callback) {
--- a/libs/gateway/test/test_relay.cc
+++ b/libs/gateway/test/test_relay.cc
@@ -41,6 +41,11 @@
   /** Ends all waits without a change. */
   void EndWaits() { RespondToWaits(); }
   int Reads() const { return m_reads; }
+  void SetReceiving(bool is_receiving) { m_is_receiving = is_receiving; }
+  /** The version after which changes were last requested. */
+  std::uint64_t RequestedAfter() const { return m_requested_after; }
+
+  bool IsReceiving(const std::string& /*table*/) const override { return m_is_receiving; }
 
   void ReadTable(const std::string& /*table*/, Callback<store::TableRows> callback) override {
     ++m_reads;
@@ -50,6 +55,7 @@
                     std::chrono::milliseconds /*wait*/,
                     Callback<store::TableRows> callback) override {
     ++m_reads;
+    m_requested_after = after;
     if (m_refuse || m_version > after) {
       Post(std::move(callback), after);
     } else {
@@ -91,6 +97,8 @@
   std::uint64_t m_version = 0;
   bool m_refuse = false;
   int m_reads = 0;
+  bool m_is_receiving = false;
+  std::uint64_t m_requested_after = 0;
 };
 
 /** One VM: its relayed store and the server for requests of its peers. */
@@ -390,6 +398,34 @@
   }
 }
 
+// Guards against reads of the same rows that share a slow link, so that none of them ends in time.
+SCENARIO("A read of the store waits while rows of the table arrive") {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  store.Put("a", "1");
+  RelayVm vm(loop, store, "vm");
+  const std::vector<RelayVm*> vms{&vm};
+  REQUIRE(IsOk(Read(loop, vms, vm, std::nullopt)));
+  const int reads = store.Reads();
+  store.SetReceiving(true);
+  vm.store.AwaitChanges("workers", 1, 1s, [](const auto& /*rows*/) {});
+  const TimePoint end = loop.Now() + kApplyWithin;
+  RunUntil(loop, vms, [&] { return loop.Now() >= end; });
+  CHECK(store.Reads() == reads);
+
+  WHEN("a check has brought newer rows meanwhile") {
+    store.Put("b", "2");
+    bool is_checked = false;
+    vm.store.CheckStore("workers", 1, [&](const auto& rows) { is_checked = IsOk(rows); });
+    RunUntil(loop, vms, [&] { return is_checked; });
+    store.SetReceiving(false);
+    THEN("the read continues from these") {
+      RunUntil(loop, vms, [&] { return store.Reads() == reads + 2; });
+      CHECK(store.RequestedAfter() == 2);
+    }
+  }
+}
+
 // Guards against a change that only VMs know which do not read the store themselves.
 SCENARIO("A VM that does not read the store says what it knows and how old that is") {
   net::EventLoop loop;
