--- a/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
@@ -70,7 +70,7 @@
   void SetPeers(const std::vector<RelayPeer>& peers);
 
   /** Responds to another VM's request for rows, at once or when rows change. */
-  void HandlePeerRequest(std::shared_ptr<http::ServerExchange> exchange);
+  void HandlePeerRequest(const std::shared_ptr<http::ServerExchange>& exchange);
 
   /** Responds to peers whose wait has timed out. Must be called a few times per second. */
   void Tick();
--- a/libs/gateway/src/peer_check.cc
+++ b/libs/gateway/src/peer_check.cc
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-void PeerCheck::Start(const std::string& table, std::uint64_t after, Callback callback) {
+void PeerCheck::Start(const std::string& table, std::uint64_t after, const Callback& callback) {
   if (m_choose == nullptr) {
     return;
   }
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -408,7 +408,7 @@
   m_impl->selector.SetPeers(peers);
 }
 
-void RelayedStore::HandlePeerRequest(std::shared_ptr<http::ServerExchange> exchange) {
+void RelayedStore::HandlePeerRequest(const std::shared_ptr<http::ServerExchange>& exchange) {
   m_impl->peer_request_handler.Handle(exchange);
 }
 
--- a/libs/gateway/test/test_relay.cc
+++ b/libs/gateway/test/test_relay.cc
@@ -110,7 +110,7 @@
   RelayVm(net::EventLoop& loop, store::TableStore& direct, const std::string& name,
           std::chrono::milliseconds apply_within = kApplyWithin)
       : store(loop, metrics, direct, name, apply_within),
-        server(loop, {}, [this](auto exchange) { store.HandlePeerRequest(std::move(exchange)); }) {
+        server(loop, {}, [this](auto exchange) { store.HandlePeerRequest(exchange); }) {
     REQUIRE(IsOk(server.Listen({"127.0.0.1", 0})));
   }
 };
