--- a/libs/gateway/test/test_relay.cc
+++ b/libs/gateway/test/test_relay.cc
@@ -479,6 +479,27 @@
   }
 }
 
+// Guards against workers that are removed at once although their entries only expired during an
+// outage of the store, which the VM that knows of the removal reports.
+SCENARIO("A VM learns from another one that is asked what it knows that the store was away") {
+  net::EventLoop loop;
+  FakeStore store(loop);
+  constexpr auto kSinceOutage = 100ms;
+  http::ConnectionServer peer(loop, {}, [&](const std::shared_ptr<http::ServerExchange>& exchange) {
+    exchange->Respond({200, {}, EncodeRows({{{}, 1}, 0ms, 0ms, kSinceOutage}), false});
+  });
+  REQUIRE(IsOk(peer.Listen({"127.0.0.1", 0})));
+  RelayVm vm(loop, store, "vm");
+  vm.store.OnPeersNeeded([&] { return std::vector<RelayPeer>{{"peer", peer.LocalEndpoint()}}; });
+  std::optional<Duration> recovered_ago;
+  vm.store.OnStoreRecovered([&](Duration ago) { recovered_ago = ago; });
+  bool has_response = false;
+  vm.store.CheckPeers("workers", 0, [&](const auto& /*rows*/, bool) { has_response = true; });
+  RunUntil(loop, {&vm}, [&] { return has_response; });
+  REQUIRE(recovered_ago.has_value());
+  CHECK(*recovered_ago >= kSinceOutage);
+}
+
 // Guards against a wait at a peer that ends shortly before the peer reads again: the next wait
 // would miss that read, and the copy would not be confirmed for almost two read cycles.
 SCENARIO("A wait at a peer outlasts the time between two reads of the peer") {
