--- a/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
@@ -37,6 +37,9 @@
  * directly. AwaitChanges() ignores its parameter `wait`: at the store and at a peer it returns
  * within 0.65 of `apply_within`. While nothing fails, the copies of all VMs of a zone are confirmed
  * every 0.55 of it.
+ *
+ * CheckStore() and CheckPeers() serve a VM whose copy is not confirmed. The second asks VMs of any
+ * zone for what they know, without waiting, so that it does not depend on a reader of the store.
  */
 class RelayedStore : public ConfirmedTableStore {
  public:
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -251,7 +251,7 @@
     }
     log.CheckEnded(table, result.peer.vm, result.requested_at, relayed.rows);
     const TimePoint sent_at = SentAt(relayed, result.requested_at);
-    RecordOutage(relayed, sent_at);
+    updates.RecordOutage(relayed, sent_at);
     updates.ApplyKnown(table, relayed, sent_at - relayed.age, result.peer.vm);
     callback(relayed.rows, relayed.is_complete);
   }
@@ -261,13 +261,6 @@
     return std::min(loop.Now(), requested_at + relayed.held);
   }
 
-  /** Records the end of an outage of the store that a peer reports. */
-  void RecordOutage(const RelayedRows& relayed, TimePoint sent_at) {
-    if (relayed.since_outage.has_value()) {
-      monitor.OnOutageEnded(sent_at - *relayed.since_outage);
-    }
-  }
-
   /** Records whether the store responds to this VM; `source` is kStoreRead or kStoreCheck. */
   void RecordStoreResult(const std::string& table, const std::string& source, TimePoint started_at,
                          const Result<store::TableRows>& result) {
@@ -368,7 +361,7 @@
     // be slightly behind.
     value.rows.version = std::max(value.rows.version, after.value_or(0));
     const TimePoint sent_at = SentAt(value, started_at);
-    RecordOutage(value, sent_at);
+    updates.RecordOutage(value, sent_at);
     if (sequence == ReadOf(table).sequence) {
       updates.Apply(table, value.rows, !after.has_value(), sent_at - value.age, peer.vm);
     }
--- a/libs/gateway/src/table_updates.cc
+++ b/libs/gateway/src/table_updates.cc
@@ -15,6 +15,12 @@
          m_loop.Now() - *table_state.confirmed_at > m_max_unconfirmed;
 }
 
+void TableUpdates::RecordOutage(const RelayedRows& relayed, TimePoint sent_at) {
+  if (relayed.since_outage.has_value()) {
+    m_monitor.OnOutageEnded(sent_at - *relayed.since_outage);
+  }
+}
+
 void TableUpdates::Apply(const std::string& table, const store::TableRows& rows, bool is_complete,
                          TimePoint fresh_at, const std::string& source) {
   TableState& table_state = m_state.tables[table];
--- a/libs/gateway/src/table_updates.h
+++ b/libs/gateway/src/table_updates.h
@@ -43,6 +43,9 @@
    */
   bool MustReadWhole(const std::string& table) const;
 
+  /** Records the end of an outage of the store that a peer reports in a response. */
+  void RecordOutage(const RelayedRows& relayed, TimePoint sent_at);
+
   /**
    * Applies rows that were read from `source`, the store or a VM that reads it. Older rows than
    * this VM knows are ignored.
--- a/libs/gateway/test/test_announced_changes.cc
+++ b/libs/gateway/test/test_announced_changes.cc
@@ -174,6 +174,15 @@
   }
 };
 
+/** Runs the loop until `is_done`, for at most kMaxDelay; returns whether it was. */
+bool RunUntil(net::EventLoop& loop, const std::function<bool()>& is_done) {
+  const TimePoint end = loop.Now() + kMaxDelay;
+  while (!is_done() && loop.Now() < end) {
+    loop.RunOnce(10ms);
+  }
+  return is_done();
+}
+
 /** Returns the version of the configuration in force, as the metrics of the VM show it. */
 double ConfigurationVersion(net::EventLoop& loop, int number) {
   http::ClientConnection connection(loop, EntryVm::SettingsOf(number).internal, {});
@@ -207,14 +216,7 @@
   EntryVm announcing(loop, shared, platform, 1);
   EntryVm behind(loop, shared, platform, 2);
   behind.store.swallowed_table = kConfigurationTable;
-  const auto run_until = [&](const std::function<bool()>& is_done) {
-    const TimePoint end = loop.Now() + kMaxDelay;
-    while (!is_done() && loop.Now() < end) {
-      loop.RunOnce(10ms);
-    }
-    return is_done();
-  };
-  REQUIRE(run_until([&] {
+  REQUIRE(RunUntil(loop, [&] {
     return announcing.store.Waits() == 2 && behind.store.Waits() == 1 &&
            behind.store.swallowed_waits == 1;
   }));
@@ -227,7 +229,7 @@
     loop.RunOnce(10ms);
     announcing.store.RespondToWaits();
     THEN("it reads the announced configuration") {
-      CHECK(run_until([&] { return behind.store.checks > checks; }));
+      CHECK(RunUntil(loop, [&] { return behind.store.checks > checks; }));
     }
   }
 }
@@ -242,14 +244,8 @@
   shared.Put(kWorkersTable, "worker", "");
   EntryVm announcing(loop, shared, platform, 1);
   EntryVm cut_off(loop, shared, platform, 2);
-  const auto run_until = [&](const std::function<bool()>& is_done) {
-    const TimePoint end = loop.Now() + kMaxDelay;
-    while (!is_done() && loop.Now() < end) {
-      loop.RunOnce(10ms);
-    }
-    return is_done();
-  };
-  REQUIRE(run_until([&] { return announcing.store.Waits() == 2 && cut_off.store.Waits() == 2; }));
+  REQUIRE(
+      RunUntil(loop, [&] { return announcing.store.Waits() == 2 && cut_off.store.Waits() == 2; }));
   REQUIRE(ConfigurationVersion(loop, 2) == 1);
 
   WHEN("the configuration changes and the store no longer answers one of the VMs") {
@@ -257,7 +253,7 @@
     shared.Put(kConfigurationTable, kConfigurationKey, "2");
     announcing.store.RespondToWaits();
     THEN("that VM applies it nevertheless") {
-      CHECK(run_until([&] { return ConfigurationVersion(loop, 2) == 2; }));
+      CHECK(RunUntil(loop, [&] { return ConfigurationVersion(loop, 2) == 2; }));
     }
   }
 }
