Make the second check of an unconfirmed copy in time at any number of VMs

At 131 VMs it began 2,510 ms (apply_within 2,000) and 2,810 ms (2,500) after the last confirmation, after the bound, so one lost check was enough for a change to be late unless another way worked. Change: the limit of 200 checks a second applies from the third check on. The second is made once an outage, two calls a VM. Test: test_confirmation_schedule, "A change is known in time at any number of VMs although the first check is lost", failed before for 131, 300 and 2,600 VMs (6 of 1,830 assertions). The interval moved from StoreCopy to CheckIntervalFor() so that the test can use it.

--- a/libs/gateway/include/quetzalhinge/gateway/confirmation_schedule.h
+++ b/libs/gateway/include/quetzalhinge/gateway/confirmation_schedule.h
@@ -24,6 +24,12 @@
  */
 ConfirmationLimits ConfirmationLimitsFor(std::chrono::milliseconds apply_within);
 
+/**
+ * Returns the time between repeated checks of a table at one of `vm_count` VMs that keeps the
+ * checks of all of them below 200 a second.
+ */
+Duration CheckIntervalFor(std::size_t vm_count);
+
 /**
  * Decides when a VM must check a table directly at the store. A VM reads the table in ways that may
  * fail without notice: its request may get no response, and a peer may lose the store. What counts
@@ -41,7 +47,10 @@
   /** Records that a check starts at `now`. */
   void OnCheckStarted(TimePoint now);
 
-  /** Lengthens the time between checks that remain without confirmation to at least `interval`. */
+  /**
+   * Lengthens the time between checks that remain without confirmation, from the second one on, to
+   * at least `interval`.
+   */
   void SetMinRetry(Duration interval) noexcept { m_min_retry = interval; }
 
   /** Returns when the next check is due. */
--- a/libs/gateway/src/confirmation_schedule.cc
+++ b/libs/gateway/src/confirmation_schedule.cc
@@ -9,6 +9,12 @@
 constexpr double kFirstRetryFraction = 0.2;
 constexpr double kRetryFraction = 0.4;
 
+/** Maximum repeated checks of all VMs together in a second during an outage of the store. */
+constexpr std::int64_t kMaxChecksPerSecond = 200;
+
+/** Tables that each VM checks. */
+constexpr std::int64_t kTables = 2;
+
 Duration Scale(std::chrono::milliseconds time, double fraction) {
   return std::chrono::duration_cast<Duration>(time * fraction);
 }
@@ -20,6 +26,11 @@
           Scale(apply_within, kRetryFraction)};
 }
 
+Duration CheckIntervalFor(std::size_t vm_count) {
+  return std::chrono::seconds(1) * kTables * static_cast<std::int64_t>(vm_count) /
+         kMaxChecksPerSecond;
+}
+
 ConfirmationSchedule::ConfirmationSchedule(const ConfirmationLimits& limits, TimePoint start)
     : m_limits(limits), m_confirmed_at(start) {}
 
@@ -40,8 +51,10 @@
   if (m_checks == 0) {
     return first;
   }
-  const Duration retry = m_checks == 1 ? m_limits.first_retry : m_limits.retry;
-  return std::max(first, m_checked_at + std::max(retry, m_min_retry));
+  // The second check decides whether a change is known in time, and is made only once an outage.
+  const Duration retry =
+      m_checks == 1 ? m_limits.first_retry : std::max(m_limits.retry, m_min_retry);
+  return std::max(first, m_checked_at + retry);
 }
 
 }  // namespace qh::gateway
--- a/libs/gateway/src/store_copy.cc
+++ b/libs/gateway/src/store_copy.cc
@@ -20,12 +20,6 @@
  */
 constexpr double kRemovalDelayFraction = 0.95;
 
-/** Maximum checks of all VMs together in a second during an outage of the store. */
-constexpr std::int64_t kMaxChecksPerSecond = 200;
-
-/** Tables that each VM checks. */
-constexpr std::int64_t kTables = 2;
-
 }  // namespace
 
 struct StoreCopy::Impl : public TableFollowerObserver {
@@ -172,8 +166,7 @@
 }
 
 void StoreCopy::SetVmCount(std::size_t vm_count) {
-  const Duration interval =
-      std::chrono::seconds(1) * kTables * static_cast<std::int64_t>(vm_count) / kMaxChecksPerSecond;
+  const Duration interval = CheckIntervalFor(vm_count);
   m_impl->configuration.SetMinCheckRetry(interval);
   m_impl->workers.SetMinCheckRetry(interval);
 }
--- a/libs/gateway/test/test_confirmation_schedule.cc
+++ b/libs/gateway/test/test_confirmation_schedule.cc
@@ -67,6 +67,26 @@
   }
 }
 
+// Guards against a second check that many VMs make too late, because the time between all repeated
+// checks grows with their number.
+SCENARIO("A change is known in time at any number of VMs although the first check is lost") {
+  for (const std::chrono::milliseconds apply_within : {2000ms, 2500ms}) {
+    for (const std::size_t vm_count : {15U, 131U, 300U, 2600U}) {
+      CAPTURE(apply_within.count(), vm_count);
+      ConfirmationSchedule schedule(ConfirmationLimitsFor(apply_within), kStart);
+      schedule.SetMinRetry(CheckIntervalFor(vm_count));
+      schedule.OnCheckStarted(schedule.NextCheck());
+      CHECK(schedule.NextCheck() + kResponseTime <= kStart + apply_within);
+      AND_THEN("all VMs together make a limited number of further checks in a second") {
+        const TimePoint second = schedule.NextCheck();
+        schedule.OnCheckStarted(second);
+        const std::chrono::duration<double> interval = schedule.NextCheck() - second;
+        CHECK(2 * static_cast<double>(vm_count) / interval.count() <= 200.001);
+      }
+    }
+  }
+}
+
 SCENARIO("Many VMs check less often during an outage") {
   ConfirmationSchedule schedule = MakeSchedule();
   schedule.SetMinRetry(4s);
