Tell checks from reads in the log, whoever was asked

Now a check fails with step="check failed", its first line says whether it reads all rows, step="reads whole table" tells the other case, and "configuration applied" names e.g. "conn-b-2 check" as the source. No other change of behaviour.

--- a/libs/gateway/include/quetzalhinge/gateway/confirmed_table_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/confirmed_table_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -10,6 +11,9 @@
 
 namespace qh::gateway {
 
+/** Pause before a read or check of a table that waits until no rows of it are arriving. */
+inline constexpr std::chrono::milliseconds kReceivingPause{50};
+
 /**
  * A table store whose rows may come from elsewhere than the store itself, and which therefore knows
  * how current they are.
@@ -26,8 +30,8 @@
   virtual std::optional<TimePoint> ConfirmedAt(const std::string& table) const = 0;
 
   /**
-   * Returns where the rows of `table` were last read, for logs: "store", "store check" or the name
-   * of a VM; empty before the first read.
+   * Returns where the rows of `table` were last read, for logs: "store" or the name of a VM,
+   * followed by " check" if a check read them; empty before the first read.
    */
   virtual std::string SourceOf(const std::string& table) const = 0;
 
--- a/libs/gateway/src/peer_check.cc
+++ b/libs/gateway/src/peer_check.cc
@@ -32,8 +32,8 @@
                             if (IsOk(relayed)) {
                               callback({peer, requested_at, TakeValue(std::move(relayed))});
                             } else {
-                              m_log.FailedRead(table, peer.vm, requested_at,
-                                               ErrorOf(relayed).detail);
+                              m_log.CheckFailed(table, peer.vm, requested_at,
+                                                ErrorOf(relayed).detail);
                             }
                           });
   }
--- a/libs/gateway/src/peer_check.h
+++ b/libs/gateway/src/peer_check.h
@@ -40,7 +40,7 @@
 
   /**
    * Asks for the changes of `table` after the store version `after`. The callback runs once for
-   * each VM that responds with rows; responses without rows are logged.
+   * each VM that responds with rows; failures are logged.
    */
   void Start(const std::string& table, std::uint64_t after, const Callback& callback);
 
--- a/libs/gateway/src/relay_log.cc
+++ b/libs/gateway/src/relay_log.cc
@@ -5,9 +5,31 @@
 
 namespace qh::gateway {
 
-void RelayLog::FailedRead(const std::string& table, const std::string& source, TimePoint started_at,
+void RelayLog::SourceChanged(const std::string& table, const std::string& before,
+                             const std::string& source) const {
+  logging::LogChange("store", "source", {{"table", table}, {"peer", source}, {"before", before}});
+}
+
+void RelayLog::ReadFailed(const std::string& table, const std::string& source, TimePoint started_at,
                           const std::string& reason) const {
-  logging::LogDecision("store", "read failed",
+  LogFailure("read failed", table, source, started_at, reason);
+}
+
+void RelayLog::CheckStarted(const std::string& table, bool reads_whole) const {
+  logging::LogDecision("store", "check",
+                       {{"table", table},
+                        {"rows", reads_whole ? "all" : "changes"},
+                        {"unconfirmed_ms", UnconfirmedMillis(table)}});
+}
+
+void RelayLog::CheckFailed(const std::string& table, const std::string& source,
+                           TimePoint started_at, const std::string& reason) const {
+  LogFailure("check failed", table, source, started_at, reason);
+}
+
+void RelayLog::LogFailure(const char* step, const std::string& table, const std::string& source,
+                          TimePoint started_at, const std::string& reason) const {
+  logging::LogDecision("store", step,
                        {{"table", table},
                         {"peer", source},
                         {"reason", reason},
@@ -15,6 +37,11 @@
                         {"unconfirmed_ms", UnconfirmedMillis(table)}});
 }
 
+void RelayLog::ChangesNotRead(const std::string& table) const {
+  logging::LogDecision("store", "reads whole table",
+                       {{"table", table}, {"unconfirmed_ms", UnconfirmedMillis(table)}});
+}
+
 void RelayLog::CheckEnded(const std::string& table, const std::string& source, TimePoint started_at,
                           const store::TableRows& rows) const {
   logging::LogDecision("store", "check ended",
--- a/libs/gateway/src/relay_state.h
+++ b/libs/gateway/src/relay_state.h
@@ -27,6 +27,14 @@
 /** The store does not respond to the peer. */
 inline constexpr int kRelayNotFresh = 503;
 
+/** Where rows were read. */
+struct RowSource {
+  /** The store, as kStore, or the name of a VM. */
+  std::string name;
+  /** Whether a check read them beside the read in progress. */
+  bool is_check = false;
+};
+
 /** State of one table at this VM. */
 struct TableState {
   RowCopy rows;
@@ -36,8 +44,8 @@
   std::optional<TimePoint> confirmed_at;
   /** Whether the rows were last read directly from the store. */
   bool from_store = false;
-  /** Where the rows were last read: the store, a check of the store, or the name of a VM. */
-  std::string source;
+  /** Where the rows were last read. */
+  RowSource source;
   /** The VM from which the rows were last read; empty if that was the store. */
   RelayPeer reader;
 };
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -9,7 +9,6 @@
 #include "peer_request_handler.h"
 #include "peer_rows_client.h"
 #include "quetzalhinge/gateway/row_copy.h"
-#include "quetzalhinge/logging/log.h"
 #include "quetzalhinge/net/timer.h"
 #include "quetzalhinge/store/store_version.h"
 #include "read_pace.h"
@@ -29,9 +28,6 @@
  */
 constexpr int kMaxPeersTried = 10;
 
-/** Pause before a read of a table of which another read is receiving rows. */
-constexpr milliseconds kReceivingPause{50};
-
 const Error kNoReader{ErrorCode::kUnavailable, "read rows", "",
                       "no VM of the zone can read the store"};
 const Error kKnownOutage{ErrorCode::kUnavailable, "read rows", "",
@@ -142,8 +138,7 @@
                                                                         : "nobody";
     std::string& previous = ReadOf(table).source;
     if (previous != source) {
-      logging::LogChange("store", "source",
-                         {{"table", table}, {"peer", source}, {"before", previous}});
+      log.SourceChanged(table, previous, source);
       previous = std::move(source);
     }
   }
@@ -183,6 +178,7 @@
       return;
     }
     if (after.has_value() && updates.MustReadWhole(table)) {
+      log.ChangesNotRead(table);
       PostFailure(table, sequence, kManyLargeChanges);
       return;
     }
@@ -219,8 +215,7 @@
       return;
     }
     store_checks.Add();
-    logging::LogDecision("store", "check",
-                         {{"table", table}, {"unconfirmed_ms", log.UnconfirmedMillis(table)}});
+    log.CheckStarted(table, !after.has_value());
     RequestFromStore(
         table, after, milliseconds(0),
         [weak = weak_from_this(), table, is_complete = !after.has_value(), started_at = loop.Now(),
@@ -229,10 +224,12 @@
           if (self == nullptr) {
             return;
           }
-          self->RecordStoreResult(table, kStoreCheck, started_at, result);
+          self->RecordStoreResult(table, started_at, result);
           if (IsOk(result)) {
-            self->log.CheckEnded(table, kStoreCheck, started_at, ValueOf(result));
-            self->updates.Apply(table, ValueOf(result), is_complete, started_at, kStoreCheck);
+            self->log.CheckEnded(table, kStore, started_at, ValueOf(result));
+            self->updates.Apply(table, ValueOf(result), is_complete, started_at, {kStore, true});
+          } else {
+            self->log.CheckFailed(table, kStore, started_at, ErrorOf(result).detail);
           }
           callback(std::move(result));
         });
@@ -246,23 +243,18 @@
       relayed.rows.version = std::max(relayed.rows.version, after);
     }
     if (is_older || relayed.rows.version < state.tables[table].rows.Version()) {
-      log.FailedRead(table, result.peer.vm, result.requested_at, "older rows");
+      log.CheckFailed(table, result.peer.vm, result.requested_at, "older rows");
       return;
     }
     log.CheckEnded(table, result.peer.vm, result.requested_at, relayed.rows);
-    const TimePoint sent_at = SentAt(relayed, result.requested_at);
+    const TimePoint sent_at = updates.SentAt(relayed, result.requested_at);
     updates.RecordOutage(relayed, sent_at);
     updates.ApplyKnown(table, relayed, sent_at - relayed.age, result.peer.vm);
     callback(relayed.rows, relayed.is_complete);
   }
 
-  /** Returns when a peer sent `relayed`, or an earlier time if the response was under way. */
-  TimePoint SentAt(const RelayedRows& relayed, TimePoint requested_at) const {
-    return std::min(loop.Now(), requested_at + relayed.held);
-  }
-
-  /** Records whether the store responds to this VM; `source` is kStoreRead or kStoreCheck. */
-  void RecordStoreResult(const std::string& table, const std::string& source, TimePoint started_at,
+  /** Records whether the store responds to this VM. */
+  void RecordStoreResult(const std::string& table, TimePoint started_at,
                          const Result<store::TableRows>& result) {
     if (IsOk(result)) {
       monitor.OnResponse(table, started_at, ValueOf(result));
@@ -272,7 +264,6 @@
       monitor.OnResponding();
       return;
     }
-    log.FailedRead(table, source, started_at, ErrorOf(result).detail);
     monitor.OnFailure(table, started_at);
     selector.OnStale(own_vm, loop.Now());
     state.tables[table].fresh_at.reset();
@@ -282,12 +273,15 @@
   void OnStoreResult(const std::string& table, std::optional<std::uint64_t> after,
                      std::uint64_t sequence, int peers_tried, const StoreRead& read,
                      const Result<store::TableRows>& result) {
-    RecordStoreResult(table, kStoreRead, read.started_at, result);
+    RecordStoreResult(table, read.started_at, result);
+    if (!IsOk(result)) {
+      log.ReadFailed(table, kStore, read.started_at, ErrorOf(result).detail);
+    }
     state.tables[table].reader = {};
     if (IsOk(result)) {
       if (sequence == ReadOf(table).sequence) {
         updates.Apply(table, ValueOf(result), !after.has_value(),
-                      monitor.CurrentAt(ValueOf(result), read), kStoreRead);
+                      monitor.CurrentAt(ValueOf(result), read), {kStore, false});
       }
     } else if (ErrorOf(result).code != ErrorCode::kConflict && peers_tried < kMaxPeersTried) {
       // The store may refuse this VM but serve other VMs.
@@ -316,7 +310,7 @@
     const auto* response = std::get_if<http::HttpResponse>(&result);
     if (response == nullptr) {
       const Error& error = std::get<http::HttpCallFailure>(result).error;
-      log.FailedRead(table, peer.vm, started_at, error.step + ": " + error.detail);
+      log.ReadFailed(table, peer.vm, started_at, error.step + ": " + error.detail);
       selector.OnNoResponse(peer.vm, loop.Now());
       ReadFromNextSource(table, after, sequence, peers_tried + 1);
       return;
@@ -348,7 +342,7 @@
     const bool is_older =
         IsOk(relayed) && updates.IsOlder(table, after.has_value(), ValueOf(relayed).rows.version);
     if (!IsOk(relayed) || is_older) {
-      log.FailedRead(table, peer.vm, started_at,
+      log.ReadFailed(table, peer.vm, started_at,
                      IsOk(relayed) ? "older rows" : ErrorOf(relayed).detail);
       selector.OnStale(peer.vm, loop.Now());
       ReadFromNextSource(table, after, sequence, peers_tried + 1);
@@ -360,10 +354,10 @@
     // The store's version grows with writes to any table; a peer without changes of this table may
     // be slightly behind.
     value.rows.version = std::max(value.rows.version, after.value_or(0));
-    const TimePoint sent_at = SentAt(value, started_at);
+    const TimePoint sent_at = updates.SentAt(value, started_at);
     updates.RecordOutage(value, sent_at);
     if (sequence == ReadOf(table).sequence) {
-      updates.Apply(table, value.rows, !after.has_value(), sent_at - value.age, peer.vm);
+      updates.Apply(table, value.rows, !after.has_value(), sent_at - value.age, {peer.vm, false});
     }
     Complete(table, sequence, value.rows);
   }
@@ -453,7 +447,11 @@
 
 std::string RelayedStore::SourceOf(const std::string& table) const {
   const auto found = m_impl->state.tables.find(table);
-  return found == m_impl->state.tables.end() ? "" : found->second.source;
+  if (found == m_impl->state.tables.end()) {
+    return "";
+  }
+  const RowSource& source = found->second.source;
+  return source.is_check ? source.name + " check" : source.name;
 }
 
 std::optional<TimePoint> RelayedStore::ConfirmedAt(const std::string& table) const {
--- a/libs/gateway/src/table_follower.cc
+++ b/libs/gateway/src/table_follower.cc
@@ -17,9 +17,6 @@
 /** Pause between two waits, so that changes in quick succession are read in one batch. */
 constexpr milliseconds kBatchPause{20};
 
-/** Pause before a check of a table of which another read is receiving rows. */
-constexpr milliseconds kReceivingPause{50};
-
 /** Backoff after a failure, doubled with each further failure up to the maximum. */
 constexpr milliseconds kMinBackoff{100};
 constexpr milliseconds kMaxBackoff{800};
--- a/libs/gateway/src/table_updates.cc
+++ b/libs/gateway/src/table_updates.cc
@@ -1,5 +1,7 @@
 #include "table_updates.h"
 
+#include <algorithm>
+
 #include "quetzalhinge/store/store_version.h"
 
 namespace qh::gateway {
@@ -15,6 +17,10 @@
          m_loop.Now() - *table_state.confirmed_at > m_max_unconfirmed;
 }
 
+TimePoint TableUpdates::SentAt(const RelayedRows& relayed, TimePoint requested_at) const {
+  return std::min(m_loop.Now(), requested_at + relayed.held);
+}
+
 void TableUpdates::RecordOutage(const RelayedRows& relayed, TimePoint sent_at) {
   if (relayed.since_outage.has_value()) {
     m_monitor.OnOutageEnded(sent_at - *relayed.since_outage);
@@ -22,10 +28,10 @@
 }
 
 void TableUpdates::Apply(const std::string& table, const store::TableRows& rows, bool is_complete,
-                         TimePoint fresh_at, const std::string& source) {
+                         TimePoint fresh_at, const RowSource& source) {
   TableState& table_state = m_state.tables[table];
   if (rows.version < table_state.rows.Version()) {
-    m_log.OlderRowsIgnored(table, source, rows);
+    m_log.OlderRowsIgnored(table, source.name, rows);
     return;
   }
   m_monitor.OnVersion(rows.version);
@@ -33,19 +39,19 @@
     table_state.fresh_at = fresh_at;
   }
   RecordConfirmation(table, fresh_at);
-  table_state.from_store = source == kStoreRead || source == kStoreCheck;
+  table_state.from_store = source.name == kStore;
   table_state.source = source;
   table_state.rows.Apply(rows, is_complete);
   m_handler.OnRows(table);
 }
 
 void TableUpdates::ApplyKnown(const std::string& table, const RelayedRows& relayed,
-                              TimePoint current_at, const std::string& source) {
+                              TimePoint current_at, const std::string& peer) {
   m_monitor.OnVersion(relayed.rows.version);
   RecordConfirmation(table, current_at);
   if (!relayed.rows.rows.empty()) {
     TableState& table_state = m_state.tables[table];
-    table_state.source = source;
+    table_state.source = {peer, true};
     table_state.rows.Apply(relayed.rows, relayed.is_complete);
     m_handler.OnRows(table);
   }
--- a/libs/gateway/src/table_updates.h
+++ b/libs/gateway/src/table_updates.h
@@ -43,6 +43,9 @@
    */
   bool MustReadWhole(const std::string& table) const;
 
+  /** Returns when a peer sent `relayed`, or an earlier time if the response was under way. */
+  TimePoint SentAt(const RelayedRows& relayed, TimePoint requested_at) const;
+
   /** Records the end of an outage of the store that a peer reports in a response. */
   void RecordOutage(const RelayedRows& relayed, TimePoint sent_at);
 
@@ -52,15 +55,15 @@
    * @param fresh_at when the rows were last known to be current
    */
   void Apply(const std::string& table, const store::TableRows& rows, bool is_complete,
-             TimePoint fresh_at, const std::string& source);
+             TimePoint fresh_at, const RowSource& source);
 
   /**
-   * Applies what the VM `source` knows, which must not be older than the copy here. Does not change
+   * Applies what the VM `peer` knows, which must not be older than the copy here. Does not change
    * whether this VM counts as a reader of the store.
    * @param current_at when the rows were last known to be current
    */
   void ApplyKnown(const std::string& table, const RelayedRows& relayed, TimePoint current_at,
-                  const std::string& source);
+                  const std::string& peer);
 
  private:
   void RecordConfirmation(const std::string& table, TimePoint at);
