Ask other VMs also when a due check waits for rows that are arriving

A check that was due by the schedule was put off without a trace, up to 10 s on a link that loses packets, and other VMs were not asked meanwhile; only a check for an announced change asked them. Now they are asked once when a due check is put off, with a log line. Test: test_table_follower, "and asks other VMs once on request and once when the check is due", failed before (1 of 33 assertions, without the new call).

--- a/libs/gateway/src/table_follower.cc
+++ b/libs/gateway/src/table_follower.cc
@@ -4,6 +4,7 @@
 #include <random>
 #include <utility>
 
+#include "quetzalhinge/logging/log.h"
 #include "quetzalhinge/net/timer.h"
 
 namespace qh::gateway {
@@ -37,6 +38,8 @@
   bool needs_full_read = true;
   /** Whether the next check reads the whole table, because the last one failed. */
   bool check_needs_full_read = false;
+  /** Whether the check that is due waits for the end of a response. */
+  bool is_check_postponed = false;
   /** Whether the timer runs for the backoff after a failure. */
   bool is_backing_off = false;
   milliseconds backoff = kMinBackoff;
@@ -113,16 +116,26 @@
     if (loop.Now() < schedule.NextCheck()) {
       ScheduleCheck();
     } else if (store.IsReceiving(table)) {
-      check_timer.StartOnce(kReceivingPause);
+      PostponeCheck();
     } else {
+      is_check_postponed = false;
       StartCheck();
       ScheduleCheck();
     }
   }
 
+  /** Waits with the check of the store, which would only delay the rows that are arriving. */
+  void PostponeCheck() {
+    if (!std::exchange(is_check_postponed, true)) {
+      logging::LogDecision("store", "check postponed",
+                           {{"table", table}, {"reason", "rows are arriving"}});
+      StartPeerCheck();
+    }
+    check_timer.StartOnce(kReceivingPause);
+  }
+
   void CheckNow() {
     if (store.IsReceiving(table)) {
-      // A check of the store would only delay the rows that are arriving.
       StartPeerCheck();
     } else {
       StartCheck();
--- a/libs/gateway/test/test_table_follower.cc
+++ b/libs/gateway/test/test_table_follower.cc
@@ -175,6 +175,9 @@
     fixture.loop.RunOnce(milliseconds(10));
   }
   CHECK(fixture.store.checks.empty());
+  SECTION("and asks other VMs once on request and once when the check is due") {
+    CHECK(fixture.store.peer_checks.size() == 2);
+  }
   SECTION("but soon after they have stopped arriving") {
     fixture.store.is_receiving = false;
     fixture.AwaitCheck();
