--- a/libs/gateway/include/quetzalhinge/gateway/check_peers.h
+++ b/libs/gateway/include/quetzalhinge/gateway/peer_choice.h
@@ -18,7 +18,7 @@
  * @param members the active members other than this VM
  * @param own_revision newest revision that this VM knows
  */
-std::vector<RelayPeer> ChooseCheckPeers(const std::vector<const membership::Member*>& members,
+std::vector<RelayPeer> ChoosePeersToAsk(const std::vector<const membership::Member*>& members,
                                         const std::string& own_zone, std::uint64_t own_revision,
                                         RandomGenerator& random);
 
--- a/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
+++ b/libs/gateway/include/quetzalhinge/gateway/relayed_store.h
@@ -67,7 +67,7 @@
   void OnEra(std::function<void(std::uint64_t era)> callback);
 
   /** Sets the function that chooses the VMs for CheckPeers(); without it there are none. */
-  void OnPeersNeeded(std::function<std::vector<RelayPeer>()> choose);
+  void SetPeerChoice(std::function<std::vector<RelayPeer>()> choose);
 
   /** Sets the other live VMs of the zone. */
   void SetPeers(const std::vector<RelayPeer>& peers);
--- a/libs/gateway/src/gateway_process.cc
+++ b/libs/gateway/src/gateway_process.cc
@@ -6,8 +6,8 @@
 #include "gateway_gossip.h"
 #include "quetzalhinge/gateway/address_choice.h"
 #include "quetzalhinge/gateway/call_service.h"
-#include "quetzalhinge/gateway/check_peers.h"
 #include "quetzalhinge/gateway/limit_watch.h"
+#include "quetzalhinge/gateway/peer_choice.h"
 #include "quetzalhinge/gateway/relayed_store.h"
 #include "quetzalhinge/gateway/store_copy.h"
 #include "quetzalhinge/gateway/vm_registration.h"
@@ -140,8 +140,8 @@
     overload_monitor.Watch("addresses", address_server);
     overload_monitor.Watch("internal", internal_server);
     relayed_store.OnEra([this](std::uint64_t era) { registration.OnStoreEra(era); });
-    relayed_store.OnPeersNeeded([this] {
-      return ChooseCheckPeers(gossip.Members().ActiveMembers(loop.Now()), settings.zone,
+    relayed_store.SetPeerChoice([this] {
+      return ChoosePeersToAsk(gossip.Members().ActiveMembers(loop.Now()), settings.zone,
                               NewestKnownChange(), random);
     });
     relayed_store.OnStoreRecovered([this](Duration ago) { store_copy.OnStoreRecovered(ago); });
--- a/libs/gateway/src/peer_check.h
+++ b/libs/gateway/src/peer_check.h
@@ -34,7 +34,7 @@
         m_log(log) {}
 
   /** Sets the function that chooses the VMs to ask; without it none are asked. */
-  void OnPeersNeeded(std::function<std::vector<RelayPeer>()> choose) {
+  void SetPeerChoice(std::function<std::vector<RelayPeer>()> choose) {
     m_choose = std::move(choose);
   }
 
--- a/libs/gateway/src/check_peers.cc
+++ b/libs/gateway/src/peer_choice.cc
@@ -1,4 +1,4 @@
-#include "quetzalhinge/gateway/check_peers.h"
+#include "quetzalhinge/gateway/peer_choice.h"
 
 #include <algorithm>
 #include <random>
@@ -9,9 +9,9 @@
 using membership::Member;
 using membership::MemberState;
 
-/** Appends one of `candidates` to `chosen`, if there are any. */
-void ChooseOne(std::vector<const Member*> candidates, std::uint64_t own_revision,
-               RandomGenerator& random, std::vector<RelayPeer>& chosen) {
+/** Appends one of `candidates` to `chosen`, one with a newer revision if there are any. */
+void AppendOneOf(std::vector<const Member*> candidates, std::uint64_t own_revision,
+                 RandomGenerator& random, std::vector<RelayPeer>& chosen) {
   if (candidates.empty()) {
     return;
   }
@@ -26,7 +26,7 @@
 
 }  // namespace
 
-std::vector<RelayPeer> ChooseCheckPeers(const std::vector<const Member*>& members,
+std::vector<RelayPeer> ChoosePeersToAsk(const std::vector<const Member*>& members,
                                         const std::string& own_zone, std::uint64_t own_revision,
                                         RandomGenerator& random) {
   std::vector<const Member*> in_own_zone;
@@ -37,8 +37,8 @@
     }
   }
   std::vector<RelayPeer> chosen;
-  ChooseOne(std::move(in_own_zone), own_revision, random, chosen);
-  ChooseOne(std::move(elsewhere), own_revision, random, chosen);
+  AppendOneOf(std::move(in_own_zone), own_revision, random, chosen);
+  AppendOneOf(std::move(elsewhere), own_revision, random, chosen);
   return chosen;
 }
 
--- a/libs/gateway/src/relayed_store.cc
+++ b/libs/gateway/src/relayed_store.cc
@@ -406,8 +406,8 @@
   m_impl->monitor.OnEra(std::move(callback));
 }
 
-void RelayedStore::OnPeersNeeded(std::function<std::vector<RelayPeer>()> choose) {
-  m_impl->peer_check.OnPeersNeeded(std::move(choose));
+void RelayedStore::SetPeerChoice(std::function<std::vector<RelayPeer>()> choose) {
+  m_impl->peer_check.SetPeerChoice(std::move(choose));
 }
 
 void RelayedStore::SetPeers(const std::vector<RelayPeer>& peers) {
--- a/libs/gateway/test/test_check_peers.cc
+++ b/libs/gateway/test/test_peer_choice.cc
@@ -4,7 +4,7 @@
 #include <utility>
 #include <vector>
 
-#include "quetzalhinge/gateway/check_peers.h"
+#include "quetzalhinge/gateway/peer_choice.h"
 
 namespace qh::gateway {
 namespace {
@@ -28,7 +28,7 @@
     pointers.push_back(&member);
   }
   std::vector<std::string> names;
-  for (const RelayPeer& peer : ChooseCheckPeers(pointers, "a", 10, random)) {
+  for (const RelayPeer& peer : ChoosePeersToAsk(pointers, "a", 10, random)) {
     names.push_back(peer.vm);
   }
   return names;
--- a/libs/gateway/test/test_relay_checks.cc
+++ b/libs/gateway/test/test_relay_checks.cc
@@ -89,7 +89,7 @@
   other.store.SetPeers({{"reader", reader.server.LocalEndpoint()}});
   REQUIRE(IsOk(Read(loop, vms, other, std::nullopt)));
   const std::vector<RelayPeer> peers{{"other", other.server.LocalEndpoint()}};
-  asker.store.OnPeersNeeded([&] { return peers; });
+  asker.store.SetPeerChoice([&] { return peers; });
   std::vector<store::TableRows> responses;
   bool was_complete = false;
   const auto ask = [&](std::uint64_t after) {
@@ -138,7 +138,7 @@
   });
   REQUIRE(IsOk(peer.Listen({"127.0.0.1", 0})));
   RelayVm vm(loop, store, "vm");
-  vm.store.OnPeersNeeded([&] { return std::vector<RelayPeer>{{"peer", peer.LocalEndpoint()}}; });
+  vm.store.SetPeerChoice([&] { return std::vector<RelayPeer>{{"peer", peer.LocalEndpoint()}}; });
   std::optional<Duration> recovered_ago;
   vm.store.OnStoreRecovered([&](Duration ago) { recovered_ago = ago; });
   bool has_response = false;
